--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,12 @@
+// Builds the single executable dist/papayalead: bundle, single-executable blob, copy of node with the blob injected.
+import { execFileSync } from 'node:child_process'
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs'
+import { bundle } from './bundle.mjs'
+
+mkdirSync('dist', { recursive: true })
+await bundle('dist/papayalead.cjs')
+writeFileSync('dist/sea.json', JSON.stringify({ main: 'dist/papayalead.cjs', output: 'dist/papayalead.blob', disableExperimentalSEAWarning: true }))
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'inherit' })
+copyFileSync(process.execPath, 'dist/papayalead')
+chmodSync('dist/papayalead', 0o755)
+execFileSync('node_modules/.bin/postject', ['dist/papayalead', 'NODE_SEA_BLOB', 'dist/papayalead.blob', '--sentinel-fuse', 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'], { stdio: 'inherit' })
--- /dev/null
+++ b/src/configuration/SettingsState/index.ts
@@ -0,0 +1,22 @@
+import { z } from 'zod'
+import { SettingsChangeResult } from '../../contract/SettingsChangeResult'
+
+/**
+ * @name SettingsState
+ * @category Configuration
+ * @summary Snapshot of the settings tree.
+ *
+ * @description
+ * `values`: JSON by path. `revisions`: revision by subtree. `results`: result by change id, so that a resent change
+ * gets its first result. `offset`: log offset up to which the state is complete.
+ *
+ * @example
+ * SettingsState.parse({ offset: 0, values: {}, revisions: {}, results: {} })
+ */
+export const SettingsState = z.object({
+  offset: z.number().int().nonnegative(),
+  values: z.record(z.string(), z.json()),
+  revisions: z.record(z.string(), z.number()),
+  results: z.record(z.string(), SettingsChangeResult)
+})
+export type SettingsState = z.infer<typeof SettingsState>
--- /dev/null
+++ b/src/configuration/SettingsTree/index.ts
@@ -0,0 +1,142 @@
+import { SettingsChange } from '../../contract/SettingsChange'
+import type { SettingsChangeResult } from '../../contract/SettingsChangeResult'
+import { findSettingSchema } from '../findSettingSchema'
+import { resolveSubtree } from '../resolveSubtree'
+import { SettingsState } from '../SettingsState'
+
+type Values = SettingsState['values']
+
+/** Kinds of settings whose names are unique over the fleet. */
+const UNIQUE_NAME = /^\/teams\/[^/]+\/(accounts|services|targets)\/([^/]+)$/
+
+/**
+ * @name SettingsTree
+ * @category Configuration
+ * @summary State machine of the `settings` log group.
+ *
+ * @description
+ * Applies changes in log order. A change is atomic and conditional on the revision of its subtree. The same change id
+ * returns the first result. Offsets only grow: a change at an offset that was applied already is ignored.
+ *
+ * @example
+ * const tree = new SettingsTree()
+ * tree.apply(change, 1) // { status: 'accepted', revision: 1, offset: 1 }
+ */
+export class SettingsTree {
+  #offset = 0
+  readonly #values = new Map<string, Values[string]>()
+  readonly #revisions = new Map<string, number>()
+  readonly #results = new Map<string, SettingsChangeResult>()
+  readonly #ownerByName = new Map<string, string>()
+
+  get offset (): number {
+    return this.#offset
+  }
+
+  get (path: string): Values[string] | undefined {
+    return this.#values.get(path)
+  }
+
+  getRevision (subtree: string): number {
+    return this.#revisions.get(subtree) ?? 0
+  }
+
+  * list (prefix: string): Generator<[path: string, value: Values[string]]> {
+    for (const [path, value] of this.#values) {
+      if (prefix === '/' || path === prefix || path.startsWith(`${prefix}/`)) yield [path, value]
+    }
+  }
+
+  apply (command: unknown, offset: number): SettingsChangeResult {
+    this.#offset = Math.max(this.#offset, offset)
+    const change = SettingsChange.safeParse(command)
+    if (!change.success) return { status: 'invalid', path: '/', reason: 'The change does not have the expected form.' }
+    const first = this.#results.get(change.data.changeId)
+    if (first) return first
+    const result = this.#applyOnce(change.data, offset)
+    this.#results.set(change.data.changeId, result)
+    return result
+  }
+
+  getState (): SettingsState {
+    return {
+      offset: this.#offset,
+      values: Object.fromEntries(this.#values),
+      revisions: Object.fromEntries(this.#revisions),
+      results: Object.fromEntries(this.#results)
+    }
+  }
+
+  install (snapshot: unknown): void {
+    const state = SettingsState.parse(snapshot)
+    if (state.offset < this.#offset) return
+    this.#offset = state.offset
+    const parts: Array<[Map<string, unknown>, Record<string, unknown>]> = [
+      [this.#values, state.values], [this.#revisions, state.revisions], [this.#results, state.results]
+    ]
+    for (const [map, record] of parts) {
+      map.clear()
+      for (const [key, value] of Object.entries(record)) map.set(key, value)
+    }
+    this.#ownerByName.clear()
+    for (const path of this.#values.keys()) this.#registerName(path)
+  }
+
+  #applyOnce (change: SettingsChange, offset: number): SettingsChangeResult {
+    const refusal = this.#checkRevision(change) ?? this.#checkOperations(change)
+    if (refusal) return refusal
+    for (const { path, value } of change.operations) this.#set(path, value)
+    const revision = this.getRevision(change.subtree) + 1
+    this.#revisions.set(change.subtree, revision)
+    return { status: 'accepted', revision, offset }
+  }
+
+  #checkRevision (change: SettingsChange): SettingsChangeResult | undefined {
+    const revision = this.getRevision(change.subtree)
+    if (change.expectedRevision === undefined || change.expectedRevision === revision) return undefined
+    const values: Values = {}
+    for (const { path } of change.operations) values[path] = this.get(path) ?? null
+    return { status: 'conflict', revision, values }
+  }
+
+  #checkOperations (change: SettingsChange): SettingsChangeResult | undefined {
+    for (const { path, value } of change.operations) {
+      const reason = this.#findFault(change.subtree, path, value)
+      if (reason) return { status: 'invalid', path, reason }
+    }
+    return undefined
+  }
+
+  #findFault (subtree: string, path: string, value: Values[string]): string | undefined {
+    const schema = findSettingSchema(path)
+    if (!schema) return 'No setting has this path.'
+    if (resolveSubtree(path) !== subtree) return `The path is not in the subtree ${subtree}.`
+    const owner = this.#ownerByName.get(this.#getUniqueName(path) ?? '')
+    if (owner && owner !== path) return `The name is already used by ${owner}.`
+    if (value === null) return undefined
+    const parsed = schema.safeParse(value)
+    if (parsed.success) return undefined
+    const [issue] = parsed.error.issues
+    return `${issue.path.join('.') || 'value'}: ${issue.message}`
+  }
+
+  #set (path: string, value: Values[string]): void {
+    if (value === null) {
+      this.#values.delete(path)
+      this.#ownerByName.delete(this.#getUniqueName(path) ?? '')
+      return
+    }
+    this.#values.set(path, value)
+    this.#registerName(path)
+  }
+
+  #registerName (path: string): void {
+    const name = this.#getUniqueName(path)
+    if (name) this.#ownerByName.set(name, path)
+  }
+
+  #getUniqueName (path: string): string | undefined {
+    const match = UNIQUE_NAME.exec(path)
+    return match ? `${match[1]}/${match[2]}` : undefined
+  }
+}
--- /dev/null
+++ b/src/configuration/SettingsTree/test.ts
@@ -0,0 +1,56 @@
+import { SettingsTree } from '.'
+import type { SettingsChange } from '../../contract/SettingsChange'
+
+const account = { keyHashes: [], services: ['*'] }
+
+function createChange (changeId: string, expectedRevision: number | undefined, path: string, value: object | null): SettingsChange {
+  const subtree = path.split('/').slice(0, 3).join('/')
+  return { changeId, subtree, expectedRevision, operations: [{ path, value: value as never }], operator: 'ann', atMs: 0 }
+}
+
+describe('SettingsTree', () => {
+  it('lets exactly one of two operators with equal revisions win and shows the winner to the other', () => {
+    const tree = new SettingsTree()
+    expect(tree.apply(createChange('a', 0, '/teams/s/accounts/q', account), 1)).toEqual({ status: 'accepted', revision: 1, offset: 1 })
+    const loser = tree.apply(createChange('b', 0, '/teams/s/accounts/q', { ...account, weight: 9 }), 2)
+    expect(loser).toEqual({ status: 'conflict', revision: 1, values: { '/teams/s/accounts/q': account } })
+  })
+
+  it('returns the first result to a resent change, also after a snapshot, so that a lost answer does not apply it twice', () => {
+    const tree = new SettingsTree()
+    const change = createChange('a', undefined, '/teams/s/accounts/q', account)
+    const first = tree.apply(change, 1)
+    tree.apply(createChange('b', undefined, '/teams/s/accounts/q', { ...account, weight: 2 }), 2)
+    const copy = new SettingsTree()
+    copy.install(JSON.parse(JSON.stringify(tree.getState())))
+    expect(copy.apply(change, 3)).toEqual(first)
+    expect(copy.get('/teams/s/accounts/q')).toMatchObject({ weight: 2 })
+  })
+
+  it('keeps subtrees of teams independent, so that a team does not conflict with another one', () => {
+    const tree = new SettingsTree()
+    tree.apply(createChange('a', 0, '/teams/s/accounts/q', account), 1)
+    expect(tree.apply(createChange('b', 0, '/teams/t/accounts/r', account), 2)).toMatchObject({ status: 'accepted', revision: 1 })
+  })
+
+  it.each([
+    ['an unknown path', '/teams/s/other/q', {}],
+    ['an unknown key', '/teams/s/accounts/q', { ...account, colour: 1 }],
+    ['a name that another team uses', '/teams/s/accounts/taken', account],
+    ['a wrong type', '/teams/s/accounts/q', { ...account, weight: 'x' }]
+  ])('refuses %s and leaves the revision as it is', (_case, path, value) => {
+    const tree = new SettingsTree()
+    tree.apply(createChange('a', 0, '/teams/t/accounts/taken', account), 1)
+    expect(tree.apply(createChange('b', 0, path, value), 2)).toMatchObject({ status: 'invalid', path })
+    expect(tree.getRevision('/teams/s')).toBe(0)
+  })
+
+  it('never installs a snapshot that is older than its state', () => {
+    const tree = new SettingsTree()
+    const old = tree.getState()
+    tree.apply(createChange('a', 0, '/teams/s/accounts/q', account), 5)
+    tree.install(old)
+    expect(tree.offset).toBe(5)
+    expect(tree.get('/teams/s/accounts/q')).toEqual(account)
+  })
+})
--- /dev/null
+++ b/src/instance/startHttpServer/index.ts
@@ -0,0 +1,78 @@
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import polka, { type Polka } from 'polka'
+import { AppError } from '../../contract/AppError'
+import type { ListenAddress } from '../../contract/ListenAddress'
+import { sendError } from '../sendError'
+
+type HttpHandler = (request: polka.Request, response: ServerResponse) => Promise<void> | void
+
+interface HttpRoute {
+  method: 'get' | 'post' | 'put' | 'delete' | 'all'
+  path: string
+  handler: HttpHandler
+}
+
+interface HttpServer {
+  address: ListenAddress
+  server: Server
+}
+
+const MAX_HEADER_BYTES = 16 * 1024
+const HEADERS_TIMEOUT_MS = 10_000
+const REQUEST_TIMEOUT_MS = 60_000
+
+/**
+ * @name startHttpServer
+ * @category Instance
+ * @summary Starts an HTTP server with routes.
+ *
+ * @description
+ * Errors of handlers become answers of their kind. Slow senders are cut off by the time limits.
+ *
+ * @param address - Where to listen.
+ * @param routes - Handlers by method and path pattern of polka.
+ * @returns The bound address and the server.
+ * @throws Error of node:net if the address can't be bound.
+ *
+ * @example
+ * const { address } = await startHttpServer({ host: '127.0.0.1', port: 0 }, [{ method: 'get', path: '/healthz', handler }])
+ */
+export async function startHttpServer (address: ListenAddress, routes: readonly HttpRoute[]): Promise<HttpServer> {
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS })
+  const app = polka({
+    server,
+    onNoMatch: (_request, response) => sendError(response, new AppError('not-found', 'No such path.')),
+    onError: (error, _request, response) => sendError(response, error)
+  })
+  for (const route of routes) addRoute(app, route)
+  server.on('clientError', (error, socket) => refuseMalformed(error as NodeJS.ErrnoException, socket))
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    app.listen(address.port, address.host, () => resolve())
+  })
+  const { port } = server.address() as AddressInfo
+  return { address: { host: address.host, port }, server }
+}
+
+function addRoute (app: Polka, route: HttpRoute): void {
+  app[route.method](route.path, (request, response) => {
+    runHandler(route.handler, request as unknown as polka.Request, response).catch(error => sendError(response, error))
+  })
+}
+
+async function runHandler (handler: HttpHandler, request: polka.Request, response: ServerResponse): Promise<void> {
+  await handler(request, response)
+}
+
+function refuseMalformed (error: NodeJS.ErrnoException, socket: import('node:stream').Duplex): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy()
+    return
+  }
+  const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW'
+  const [status, kind] = isTooLarge ? ['431 Request Header Fields Too Large', 'headers-too-large'] : ['400 Bad Request', 'bad-request']
+  const body = JSON.stringify({ error: { kind, message: 'The request is malformed or too large.', outcome: 'not-run' } })
+  const head = [`HTTP/1.1 ${status}`, 'content-type: application/json', 'papayalead-outcome: not-run', `content-length: ${body.length}`, 'connection: close']
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`)
+}
--- /dev/null
+++ b/src/lifecycle/LifecycleManager/index.ts
@@ -0,0 +1,57 @@
+interface Registration {
+  name: string
+  close: () => Promise<void> | void
+}
+
+interface LifecycleObserver {
+  onError: (name: string, error: unknown) => void
+}
+
+/**
+ * @name LifecycleManager
+ * @category Lifecycle
+ * @summary Closes everything that was opened, in reverse order.
+ *
+ * @description
+ * Each part registers how it is closed when it is opened. `close` runs the closers one after another; a closer that
+ * fails is reported and the rest still run. A second `close` returns the promise of the first.
+ *
+ * @param observer - Told about closers that fail.
+ *
+ * @example
+ * const lifecycle = new LifecycleManager()
+ * lifecycle.register('listener', () => server.close())
+ * await lifecycle.close()
+ */
+export class LifecycleManager {
+  readonly #registrations: Registration[] = []
+  readonly #observer?: LifecycleObserver
+  #closing?: Promise<void>
+
+  constructor (observer?: LifecycleObserver) {
+    this.#observer = observer
+  }
+
+  register (name: string, close: Registration['close']): void {
+    this.#registrations.push({ name, close })
+  }
+
+  get isClosing (): boolean {
+    return this.#closing !== undefined
+  }
+
+  close (): Promise<void> {
+    this.#closing ??= this.#closeAll()
+    return this.#closing
+  }
+
+  async #closeAll (): Promise<void> {
+    for (const { name, close } of [...this.#registrations].reverse()) {
+      try {
+        await close()
+      } catch (error) {
+        this.#observer?.onError(name, error)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/link/LinkClient/test.ts
@@ -0,0 +1,89 @@
+import { connect } from 'node:net'
+import { LinkClient } from '.'
+import { AppError } from '../../contract/AppError'
+import type { LinkIdentity } from '../../contract/LinkIdentity'
+import type { Link } from '../Link'
+import { LinkServer } from '../LinkServer'
+import type { MessageHandlers } from '../MessageHandlers'
+
+const KEY = 'a-shared-cluster-key'
+const identity = (instance: string): LinkIdentity => ({ instance, incarnation: `${instance}-1`, zone: 'z', role: 'router' })
+
+async function startPair (handlers: MessageHandlers, clientKey = KEY) {
+  const errors: AppError[] = []
+  const server = new LinkServer({ identity: identity('s'), clusterKey: KEY, handlers, onError: error => errors.push(error) })
+  const address = await server.listen({ host: '127.0.0.1', port: 0 })
+  let client: LinkClient | undefined
+  const linked = new Promise<Link>(resolve => {
+    client = new LinkClient(address, { identity: identity('c'), clusterKey: clientKey, handlers: new Map(), onLink: resolve })
+  })
+  return { server, address, client: client!, linked, errors }
+}
+
+async function waitFor (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+describe('LinkClient and LinkServer', () => {
+  it('matches replies to requests that end out of order, so that no reply reaches the wrong request', async () => {
+    const handlers: MessageHandlers = new Map([['echo', async (body: unknown) => {
+      const { delayMs, value } = body as { delayMs: number, value: number }
+      await new Promise(resolve => setTimeout(resolve, delayMs))
+      return value
+    }]])
+    const { server, client, linked } = await startPair(handlers)
+    const link = await linked
+    expect(link.peer.instance).toBe('s')
+    const values = await Promise.all([30, 0, 15].map((delayMs, value) => client.request('echo', { delayMs, value })))
+    expect(values).toEqual([0, 1, 2])
+    client.close()
+    await server.close()
+  })
+
+  it('carries the kind of a handler error and refuses unknown message types', async () => {
+    const { server, client, linked } = await startPair(new Map([['fail', () => { throw new AppError('not-leader', 'c2 leads.') }]]))
+    await linked
+    await expect(client.request('fail', null)).rejects.toMatchObject({ kind: 'not-leader' })
+    await expect(client.request('missing', null)).rejects.toMatchObject({ kind: 'not-found' })
+    client.close()
+    await server.close()
+  })
+
+  it('reports a request without reply as unknown, because the peer may have handled it', async () => {
+    const { server, client, linked } = await startPair(new Map([['hang', () => new Promise(() => {})]]))
+    await linked
+    await expect(client.request('hang', null, { timeoutMs: 20 })).rejects.toMatchObject({ kind: 'control-unavailable', outcome: 'unknown' })
+    const pending = client.request('hang', null)
+    client.link?.close()
+    await expect(pending).rejects.toMatchObject({ outcome: 'unknown' })
+    client.close()
+    await server.close()
+  })
+
+  it('refuses a peer with another cluster key', async () => {
+    const { server, client, errors } = await startPair(new Map(), 'another-cluster-key')
+    await waitFor(() => errors.length > 0)
+    expect(errors[0].kind).toBe('cluster-key-mismatch')
+    await expect(client.request('x', null)).rejects.toMatchObject({ kind: 'control-unavailable', outcome: 'not-run' })
+    client.close()
+    await server.close()
+  })
+
+  it.each([
+    ['bytes of another protocol', Buffer.from('GET / HTTP/1.1\r\n\r\n'), 'version-mismatch'],
+    ['a truncated frame', Buffer.from([0, 0, 0, 9, 1, 1]), 'frame-invalid'],
+    ['a frame over the limit', Buffer.from([255, 255, 255, 255, 1]), 'frame-too-large']
+  ])('closes a connection that sends %s and goes on serving others', async (_case, bytes, kind) => {
+    const { server, address, client, linked, errors } = await startPair(new Map([['ping', () => 'pong']]))
+    await linked
+    const socket = connect(address)
+    socket.on('error', () => {})
+    socket.end(bytes)
+    await waitFor(() => errors.length > 0)
+    expect(errors[0].kind).toBe(kind)
+    await expect(client.request('ping', null)).resolves.toBe('pong')
+    socket.destroy()
+    client.close()
+    await server.close()
+  })
+})
--- /dev/null
+++ b/src/log/MemoryLog/index.ts
@@ -0,0 +1,53 @@
+import type { ReplicatedLog } from '../ReplicatedLog'
+import type { StateMachine } from '../StateMachine'
+
+/**
+ * @name MemoryLog
+ * @category Log
+ * @summary A log with one replica and no disk, for tests of what stands on a log.
+ *
+ * @param machine - Applies the commands.
+ *
+ * @example
+ * const log = new MemoryLog(new SettingsTree())
+ */
+export class MemoryLog implements ReplicatedLog {
+  readonly #machine: StateMachine
+  readonly #entries: Array<{ offset: number, command: unknown }> = []
+  readonly #waiters = new Set<() => void>()
+
+  constructor (machine: StateMachine) {
+    this.#machine = machine
+  }
+
+  get commitOffset (): number {
+    return this.#entries.length
+  }
+
+  async propose (command: unknown): Promise<unknown> {
+    const offset = this.#entries.length + 1
+    this.#entries.push({ offset, command })
+    const result = this.#machine.apply(command, offset)
+    for (const notify of [...this.#waiters]) notify()
+    return result
+  }
+
+  async confirmRead (): Promise<void> {}
+
+  listEntries (afterOffset: number, maxEntries: number): Array<{ offset: number, command: unknown }> {
+    return this.#entries.slice(afterOffset, afterOffset + maxEntries)
+  }
+
+  waitForCommit (afterOffset: number, waitMs: number): Promise<void> {
+    if (this.commitOffset > afterOffset) return Promise.resolve()
+    return new Promise(resolve => {
+      const timer = setTimeout(() => notify(), waitMs)
+      const notify = (): void => {
+        clearTimeout(timer)
+        this.#waiters.delete(notify)
+        resolve()
+      }
+      this.#waiters.add(notify)
+    })
+  }
+}
--- /dev/null
+++ b/src/schedule/AdmissionGate/index.ts
@@ -0,0 +1,23 @@
+import type { AdmissionRequest } from '../AdmissionRequest'
+import type { Slot } from '../Slot'
+
+/**
+ * @name AdmissionGate
+ * @category Schedule
+ * @summary Where requests of a router wait for a slot of a target.
+ *
+ * @description
+ * `admit` resolves with a slot, or fails: `queue-full`, `deadline-exceeded`, `no-target`, `shutting-down`, or
+ * `caller-gone` when the signal aborts. Each failure means that the request did not run.
+ *
+ * @example
+ * const slot = await gate.admit({ account: 'quotes', service: 'llama', estimate: 300, deadlineAtMs, signal })
+ */
+export interface AdmissionGate {
+  admit: (request: AdmissionRequest) => Promise<Slot>
+  /** Requests that wait here. */
+  countWaiting: () => number
+  /** Slots held by requests that run on a target. */
+  countRunning: (target: string) => number
+  stop: () => Promise<void>
+}
--- /dev/null
+++ b/src/target/TargetResponse/index.ts
@@ -0,0 +1,15 @@
+import type { Readable } from 'node:stream'
+
+/**
+ * @name TargetResponse
+ * @category Target
+ * @summary The head of a target's answer and its body as a stream.
+ *
+ * @example
+ * const { status, body }: TargetResponse = await client.dispatch(request)
+ */
+export interface TargetResponse {
+  status: number
+  headers: Record<string, string | string[] | undefined>
+  body: Readable
+}
--- /dev/null
+++ b/test/_lib/startProcess/index.ts
@@ -0,0 +1,41 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createInterface } from 'node:readline'
+
+interface Address { host: string, port: number }
+
+interface StartedProcess {
+  pid: number
+  /** First line that it printed. */
+  ready: { http: Address, link: Address }
+  exitCode: Promise<number | null>
+  signal: (name: NodeJS.Signals) => void
+  stop: () => Promise<void>
+}
+
+const BUNDLE = join(__dirname, '../../../dist/papayalead.cjs')
+
+/** Starts a process of the bundle and waits for its first line of output. Its settings file is written to a temporary directory. */
+export async function startProcess (args: string[], settings?: object): Promise<StartedProcess> {
+  const configFlags = settings ? ['--config', writeSettings(settings)] : []
+  const child = spawn(process.execPath, [BUNDLE, ...args, ...configFlags], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const exitCode = once(child, 'exit').then(([code]) => code as number | null)
+  const [line] = await Promise.race([
+    once(createInterface(child.stdout), 'line'),
+    exitCode.then(code => { throw new Error(`${args[0]} ended with ${code} before it was ready`) })
+  ])
+  const stop = async (): Promise<void> => {
+    child.kill('SIGTERM')
+    await exitCode
+  }
+  return { pid: child.pid!, ready: JSON.parse(line), exitCode, signal: name => { child.kill(name) }, stop }
+}
+
+function writeSettings (settings: object): string {
+  const file = join(mkdtempSync(join(tmpdir(), 'papayalead-')), 'settings.jsonc')
+  writeFileSync(file, JSON.stringify(settings))
+  return file
+}
