--- /dev/null
+++ b/src/log/LogStorage/index.ts
@@ -0,0 +1,162 @@
+import { randomBytes } from 'node:crypto'
+import { basename, dirname, join } from 'node:path'
+import { AppError } from '../../contract/AppError'
+import type { LogEntry } from '../../contract/LogEntry'
+import { LogSnapshot } from '../../contract/LogSnapshot'
+import { ReplicaVote } from '../../contract/ReplicaVote'
+import { cborCodec } from '../_lib/cborCodec'
+import { decodeRecords } from '../_lib/decodeRecords'
+import { encodeRecord } from '../_lib/encodeRecord'
+import { SegmentFiles } from '../_lib/SegmentFiles'
+import { writeFileDurably } from '../_lib/writeFileDurably'
+import type { FileSystem } from '../FileSystem'
+
+const VOTE_FILE = 'vote'
+const SNAPSHOT_FILE = 'snapshot'
+const INCARNATION_BYTES = 8
+
+interface LogStorageOptions {
+  fileSystem: FileSystem
+  directory: string
+  instance: string
+}
+
+/**
+ * @name LogStorage
+ * @category Log
+ * @summary The files of one replica of a log group: vote, snapshot, segments of entries.
+ *
+ * @description
+ * Every method resolves once its effect is durable. `append`, `truncateThrough` and `clear` must not overlap, and
+ * neither may two calls of another method. An empty directory gets a new disk incarnation. A failed operation leaves
+ * the files in an unknown state: the process must end and read them again.
+ *
+ * @example
+ * const storage = await LogStorage.open({ fileSystem: new NodeFileSystem(), directory: '/var/lib/x/settings', instance: 'c1' })
+ * await storage.append([{ offset: 1, term: 1 }])
+ */
+export class LogStorage {
+  readonly vote: ReplicaVote
+  readonly snapshot: LogSnapshot | undefined
+  /** Entries after the snapshot. */
+  readonly entries: readonly LogEntry[]
+  readonly #options: LogStorageOptions
+  readonly #segments: SegmentFiles
+
+  private constructor (options: LogStorageOptions, parts: { vote: ReplicaVote, snapshot?: LogSnapshot, segments: SegmentFiles, entries: LogEntry[] }) {
+    this.#options = options
+    this.#segments = parts.segments
+    this.vote = parts.vote
+    this.snapshot = parts.snapshot
+    this.entries = parts.entries
+  }
+
+  /**
+   * @throws AppError `log-corrupted` if synced records are damaged or missing, `disk-failed` if the disk can't be used.
+   */
+  static open (options: LogStorageOptions): Promise<LogStorage> {
+    return runDiskOperation(() => openStorage(options, parts => new LogStorage(options, parts)))
+  }
+
+  /**
+   * @throws AppError `disk-failed`.
+   */
+  append (entries: readonly LogEntry[]): Promise<void> {
+    return runDiskOperation(() => this.#segments.append(entries))
+  }
+
+  /**
+   * @throws AppError `disk-failed`.
+   */
+  saveVote (vote: ReplicaVote): Promise<void> {
+    const { fileSystem, directory } = this.#options
+    return runDiskOperation(() => writeFileDurably(fileSystem, join(directory, VOTE_FILE), encodeRecord(cborCodec.encode(vote), 0)))
+  }
+
+  /**
+   * @throws AppError `disk-failed`.
+   */
+  saveSnapshot (snapshot: LogSnapshot): Promise<void> {
+    const { fileSystem, directory } = this.#options
+    return runDiskOperation(() => writeFileDurably(fileSystem, join(directory, SNAPSHOT_FILE), encodeRecord(cborCodec.encode(snapshot), 0)))
+  }
+
+  /**
+   * Removes segments that hold only entries up to an offset. Called after the snapshot that replaces them is saved.
+   *
+   * @throws AppError `disk-failed`.
+   */
+  truncateThrough (offset: number): Promise<void> {
+    return runDiskOperation(() => this.#segments.startSegment(offset))
+  }
+
+  /**
+   * Removes all entries. Called after a snapshot from the leader is saved in their place.
+   *
+   * @throws AppError `disk-failed`.
+   */
+  clear (): Promise<void> {
+    return runDiskOperation(() => this.#segments.clear())
+  }
+
+  close (): Promise<void> {
+    return runDiskOperation(() => this.#segments.close())
+  }
+}
+
+async function openStorage (
+  { fileSystem, directory, instance }: LogStorageOptions,
+  create: (parts: { vote: ReplicaVote, snapshot?: LogSnapshot, segments: SegmentFiles, entries: LogEntry[] }) => LogStorage
+): Promise<LogStorage> {
+  await fileSystem.createDirectory(directory)
+  await fileSystem.syncDirectory(dirname(directory))
+  const voteRecord = await readRecord(fileSystem, join(directory, VOTE_FILE))
+  const snapshotRecord = await readRecord(fileSystem, join(directory, SNAPSHOT_FILE))
+  const snapshot = snapshotRecord === undefined ? undefined : LogSnapshot.parse(snapshotRecord)
+  const hasSegments = (await fileSystem.listFiles(directory)).some(name => name.startsWith('segment-'))
+  if (voteRecord !== undefined && !hasSegments) throw new AppError('log-corrupted', `${directory}: the vote file is there, but the segments are missing.`)
+  const { segments, entries } = await SegmentFiles.open(fileSystem, directory)
+  if (voteRecord === undefined && (entries.length > 0 || snapshot)) {
+    throw new AppError('log-corrupted', `${directory}: the vote file is missing, so this disk must not vote. Empty the directory to join again.`)
+  }
+  const vote = voteRecord === undefined ? createVote(instance) : ReplicaVote.parse(voteRecord)
+  if (!vote.id.startsWith(`${instance}:`)) throw new AppError('log-corrupted', `${directory} belongs to ${vote.id}, not to ${instance}.`)
+  const selected = selectEntries(entries, snapshot, directory)
+  // A crash after the snapshot of a leader was saved and before the replaced entries were removed.
+  if (selected.length === 0 && entries.length > 0) await segments.clear()
+  const storage = create({ vote, snapshot, segments, entries: selected })
+  if (voteRecord === undefined) await storage.saveVote(vote)
+  return storage
+}
+
+function createVote (instance: string): ReplicaVote {
+  return { id: `${instance}:${randomBytes(INCARNATION_BYTES).toString('hex')}`, term: 0, votedFor: null }
+}
+
+async function readRecord (fileSystem: FileSystem, path: string): Promise<unknown> {
+  const bytes = await fileSystem.readFile(path)
+  if (!bytes) return undefined
+  const { payloads } = decodeRecords(Buffer.from(bytes), path)
+  // These files are replaced by rename after a sync, so a damaged one is not a torn write.
+  if (payloads.length !== 1) throw new AppError('log-corrupted', `${basename(path)}: the checksum does not match.`)
+  return cborCodec.decode(payloads[0])
+}
+
+/** Entries after the snapshot. A log that does not hold the snapshot's entry was replaced by the snapshot. */
+function selectEntries (entries: LogEntry[], snapshot: LogSnapshot | undefined, directory: string): LogEntry[] {
+  const snapshotOffset = snapshot?.offset ?? 0
+  const first = entries[0]?.offset ?? snapshotOffset + 1
+  if (first > snapshotOffset + 1) throw new AppError('log-corrupted', `${directory}: entries ${snapshotOffset + 1} to ${first - 1} are missing.`)
+  const index = entries.findIndex(({ offset }) => offset === snapshotOffset)
+  if (index !== -1) return entries[index].term === snapshot!.term ? entries.slice(index + 1) : []
+  return first === snapshotOffset + 1 ? entries : []
+}
+
+async function runDiskOperation<T> (run: () => Promise<T>): Promise<T> {
+  try {
+    return await run()
+  } catch (thrown) {
+    if (thrown instanceof AppError) throw thrown
+    throw new AppError('disk-failed', `The disk of the log failed: ${thrown instanceof Error ? thrown.message : String(thrown)}`, { cause: thrown })
+  }
+}
--- /dev/null
+++ b/src/log/_lib/Formation/index.ts
@@ -0,0 +1,77 @@
+import type { LogMembers } from '../../../contract/LogMembers'
+import type { ReplicaMessage } from '../../../contract/ReplicaMessage'
+import type { ReplicaCoreOptions } from '../../ReplicaCoreOptions'
+import type { ReplicaEffect } from '../../ReplicaEffect'
+import type { ReplicaData } from '../ReplicaData'
+import { resolveInstance } from '../resolveInstance'
+import { timing } from '../timing'
+
+type Effects = Generator<ReplicaEffect, void>
+type Message<T extends ReplicaMessage['type']> = Extract<ReplicaMessage, { type: T }>
+
+/**
+ * How replicas with empty disks come to a cluster. Only when every configured instance reports an empty disk, the one
+ * with the smallest name forms a new cluster; otherwise a disk was lost and its replica asks to join as a learner.
+ */
+export class Formation {
+  readonly #data: ReplicaData
+  readonly #options: ReplicaCoreOptions
+  readonly #emptyPeers = new Map<string, string>()
+  #isClusterKnown = false
+  #nextProbeMs: number
+
+  constructor (data: ReplicaData, options: ReplicaCoreOptions) {
+    this.#data = data
+    this.#options = options
+    this.#nextProbeMs = options.nowMs
+  }
+
+  get nextProbeMs (): number {
+    return this.#nextProbeMs
+  }
+
+  * tick (nowMs: number, isLeaderLost: boolean): Effects {
+    if (nowMs < this.#nextProbeMs) return
+    this.#nextProbeMs = nowMs + timing.probeMs
+    const isLost = isLeaderLost && !this.#data.isVoter()
+    if (this.#data.clusterId && !isLost) return
+    for (const instance of this.#options.peers) yield this.#data.createSend(instance, { type: 'probe' })
+    yield * this.#createCluster()
+  }
+
+  * handleProbe ({ from }: Message<'probe'>): Effects {
+    yield this.#data.createSend(from, { type: 'probeReply', isInitialised: this.#data.clusterId !== undefined })
+  }
+
+  * handleProbeReply ({ from, isInitialised }: Message<'probeReply'>): Effects {
+    if (isInitialised) this.#isClusterKnown = true
+    else this.#emptyPeers.set(resolveInstance(from), from)
+    yield * this.#createCluster()
+  }
+
+  * handleGenesis ({ members }: Message<'genesis'>): Effects {
+    if (this.#data.clusterId || !members.voters.includes(this.#data.id)) return
+    yield * this.#appendGenesis(members)
+  }
+
+  * #createCluster (): Effects {
+    const { peers, createClusterId } = this.#options
+    const isFirst = peers.every(peer => peer > this.#data.instance)
+    const isEveryPeerEmpty = peers.every(peer => this.#emptyPeers.has(peer))
+    if (this.#data.clusterId || this.#isClusterKnown || !isFirst || !isEveryPeerEmpty) return
+    const voters = [this.#data.id, ...peers.map(peer => this.#emptyPeers.get(peer)!)]
+    const members: LogMembers = { clusterId: createClusterId(), voters, learners: [] }
+    yield * this.#appendGenesis(members)
+    for (const id of this.#data.listOthers('voters')) yield this.#data.createSend(id, { type: 'genesis', members })
+  }
+
+  /** The first entry of every log holds the first members. It is the same on each replica. */
+  * #appendGenesis (members: LogMembers): Effects {
+    const { log, syncs } = this.#data
+    const entry = { offset: 1, term: 1, members }
+    this.#data.term = Math.max(this.#data.term, 1)
+    yield this.#data.createSaveVote()
+    log.append(entry)
+    yield { type: 'append', sequence: syncs.startWrite(1), entries: [entry] }
+  }
+}
--- /dev/null
+++ b/src/log/_lib/LeaderState/index.ts
@@ -0,0 +1,216 @@
+import type { LogEntry } from '../../../contract/LogEntry'
+import type { LogMembers } from '../../../contract/LogMembers'
+import type { ReplicaMessage } from '../../../contract/ReplicaMessage'
+import type { ReplicaEffect } from '../../ReplicaEffect'
+import { computeMembersWithLearner } from '../computeMembersWithLearner'
+import { computeMembersWithPromotion } from '../computeMembersWithPromotion'
+import { computeQuorumOffset } from '../computeQuorumOffset'
+import { hasQuorum } from '../hasQuorum'
+import type { ReplicaData } from '../ReplicaData'
+import { timing } from '../timing'
+
+const MAX_APPEND_ENTRIES = 512
+const MAX_APPEND_BYTES = 1024 * 1024
+/** Entries that may be on their way to one follower, so that a paused follower can't collect an unbounded backlog. */
+const MAX_ENTRIES_IN_FLIGHT = 4_096
+
+interface Progress {
+  nextOffset: number
+  matchOffset: number
+  commitOffset: number
+  readSequence: number
+  lastReplyMs: number
+  snapshotSentMs: number
+}
+
+interface PendingRead {
+  id: number
+  sequence: number
+  /** Unknown until the leader has committed an entry of its own term. */
+  offset?: number
+}
+
+type Effects = Generator<ReplicaEffect, void>
+
+/** Replication, commits, reads and membership changes of a leader in one term. */
+export class LeaderState {
+  readonly #data: ReplicaData
+  readonly #progress = new Map<string, Progress>()
+  readonly #startedMs: number
+  #reads: PendingRead[] = []
+  #readSequence = 0
+  #nextHeartbeatMs = 0
+
+  constructor (data: ReplicaData, nowMs: number) {
+    this.#data = data
+    this.#startedMs = nowMs
+  }
+
+  get nextHeartbeatMs (): number {
+    return this.#nextHeartbeatMs
+  }
+
+  /** True once an entry of this term is committed. Before that, the commit offset may lag behind earlier leaders'. */
+  get hasCommittedInTerm (): boolean {
+    return this.#data.log.getTerm(this.#data.commitOffset) === this.#data.term
+  }
+
+  /** Whether a majority knows that the newest membership change is committed. */
+  get isSettled (): boolean {
+    const { memberships, log, hasPendingMembers } = this.#data
+    if (hasPendingMembers) return false
+    return hasQuorum(memberships, id => this.#isSelf(id) || this.#getProgress(id).commitOffset >= log.membersOffset)
+  }
+
+  getMatchOffset (id: string): number {
+    return this.#isSelf(id) ? this.#data.syncs.syncedOffset : this.#getProgress(id).matchOffset
+  }
+
+  * append (contents: Array<Pick<LogEntry, 'command' | 'members'>>): Effects {
+    const { log, term, syncs } = this.#data
+    const entries = contents.map((content, index) => ({ offset: log.lastOffset + 1 + index, term, ...content }))
+    for (const entry of entries) log.append(entry)
+    yield { type: 'append', sequence: syncs.startWrite(log.lastOffset), entries }
+    yield * this.sendMissing()
+  }
+
+  /** Sends every member the entries that it lacks. */
+  * sendMissing (nowMs = this.#startedMs): Effects {
+    for (const id of this.#data.listOthers('all')) yield * this.#sendEntries(id, nowMs, false)
+  }
+
+  * sendHeartbeats (nowMs: number): Effects {
+    this.#nextHeartbeatMs = nowMs + timing.heartbeatMs
+    for (const id of this.#data.listOthers('all')) yield * this.#sendEntries(id, nowMs, true)
+  }
+
+  * handleSynced (): Effects {
+    yield * this.#updateCommit()
+  }
+
+  * handleReply (message: ReplicaMessage & { type: 'appendReply' }, nowMs: number): Effects {
+    const { from } = message
+    if (!this.#data.listOthers('all').includes(from)) return
+    const progress = this.#getProgress(from)
+    progress.lastReplyMs = nowMs
+    progress.readSequence = Math.max(progress.readSequence, message.readSequence)
+    if (message.isAccepted) this.#recordMatch(progress, message)
+    else progress.nextOffset = Math.max(progress.matchOffset + 1, Math.min(message.conflictOffset, this.#data.log.lastOffset + 1))
+    yield * this.#sendEntries(from, nowMs, false)
+    yield * this.#updateCommit()
+    yield * this.#releaseReads()
+    yield * this.#updateVoter(from)
+  }
+
+  /** A replica that is not a member asks to be added. */
+  * addLearner (id: string): Effects {
+    const { members } = this.#data.log
+    if (!members || !this.#isMembersChangeAllowed()) return
+    if ([...members.voters, ...members.learners].includes(id)) return
+    yield * this.append([{ members: computeMembersWithLearner(members, id) }])
+  }
+
+  * confirmRead (id: number, nowMs: number): Effects {
+    const offset = this.hasCommittedInTerm ? this.#data.commitOffset : undefined
+    this.#reads.push({ id, sequence: ++this.#readSequence, offset })
+    yield * this.sendHeartbeats(nowMs)
+    yield * this.#releaseReads()
+  }
+
+  * refuseReads (): Effects {
+    for (const { id } of this.#reads) yield { type: 'readFailed', id }
+    this.#reads = []
+  }
+
+  /** Whether a majority has replied within the election timeout. */
+  isSupported (nowMs: number): boolean {
+    const sinceMs = nowMs - timing.maxElectionTimeoutMs
+    return hasQuorum(this.#data.memberships, id => this.#isSelf(id) || this.#getProgress(id).lastReplyMs >= sinceMs)
+  }
+
+  #isSelf (id: string): boolean {
+    return id === this.#data.id
+  }
+
+  #getProgress (id: string): Progress {
+    let progress = this.#progress.get(id)
+    if (!progress) {
+      const nextOffset = this.#data.log.lastOffset + 1
+      progress = { nextOffset, matchOffset: 0, commitOffset: 0, readSequence: 0, lastReplyMs: this.#startedMs, snapshotSentMs: -Infinity }
+      this.#progress.set(id, progress)
+    }
+    return progress
+  }
+
+  #recordMatch (progress: Progress, message: ReplicaMessage & { type: 'appendReply' }): void {
+    progress.matchOffset = Math.max(progress.matchOffset, message.matchOffset)
+    progress.nextOffset = Math.max(progress.nextOffset, progress.matchOffset + 1)
+    progress.commitOffset = Math.max(progress.commitOffset, message.commitOffset)
+  }
+
+  * #sendEntries (id: string, nowMs: number, isHeartbeat: boolean): Effects {
+    const { log, commitOffset } = this.#data
+    const progress = this.#getProgress(id)
+    if (progress.nextOffset <= log.baseOffset) {
+      if (nowMs - progress.snapshotSentMs >= timing.snapshotRetryMs) {
+        progress.snapshotSentMs = nowMs
+        yield { type: 'sendSnapshot', from: this.#data.id, to: id, term: this.#data.term, clusterId: this.#data.clusterId }
+      }
+      if (isHeartbeat) yield this.#createAppend(id, log.lastOffset, [], commitOffset)
+      return
+    }
+    let isSent = false
+    while (progress.nextOffset <= log.lastOffset && progress.nextOffset - progress.matchOffset <= MAX_ENTRIES_IN_FLIGHT) {
+      const entries = log.list(progress.nextOffset - 1, { maxEntries: MAX_APPEND_ENTRIES, maxBytes: MAX_APPEND_BYTES })
+      yield this.#createAppend(id, progress.nextOffset - 1, entries, commitOffset)
+      progress.nextOffset += entries.length
+      isSent = true
+    }
+    if (isHeartbeat && !isSent) yield this.#createAppend(id, progress.nextOffset - 1, [], commitOffset)
+  }
+
+  #createAppend (to: string, previousOffset: number, entries: LogEntry[], commitOffset: number): ReplicaEffect {
+    const previousTerm = this.#data.log.getTerm(previousOffset)!
+    return this.#data.createSend(to, { type: 'append', previousOffset, previousTerm, entries, commitOffset, readSequence: this.#readSequence })
+  }
+
+  * #updateCommit (): Effects {
+    const { log, term, memberships } = this.#data
+    const offset = computeQuorumOffset(memberships, id => this.getMatchOffset(id))
+    // An entry of an earlier term is committed only together with one of this term, because a later leader could
+    // otherwise replace it.
+    if (offset <= this.#data.commitOffset || log.getTerm(offset) !== term) return
+    this.#data.commitOffset = offset
+    yield { type: 'apply', offset }
+    yield * this.#releaseReads()
+    for (const id of this.#data.listOthers('all')) {
+      const { nextOffset } = this.#getProgress(id)
+      if (nextOffset > log.baseOffset) yield this.#createAppend(id, nextOffset - 1, [], offset)
+    }
+  }
+
+  * #releaseReads (): Effects {
+    if (!this.hasCommittedInTerm) return
+    const waiting: PendingRead[] = []
+    for (const read of this.#reads) {
+      read.offset ??= this.#data.commitOffset
+      const isConfirmed = hasQuorum(this.#data.memberships, id => this.#isSelf(id) || this.#getProgress(id).readSequence >= read.sequence)
+      if (isConfirmed) yield { type: 'readReady', id: read.id, offset: read.offset }
+      else waiting.push(read)
+    }
+    this.#reads = waiting
+  }
+
+  #isMembersChangeAllowed (): boolean {
+    return !this.#data.hasPendingMembers && this.hasCommittedInTerm
+  }
+
+  /** Replaces the voter of an instance by its new disk, once that holds every committed entry on the disk. */
+  * #updateVoter (id: string): Effects {
+    const members: LogMembers | undefined = this.#data.log.members
+    if (!members || !this.#isMembersChangeAllowed()) return
+    if (this.#getProgress(id).matchOffset < this.#data.commitOffset) return
+    const promoted = computeMembersWithPromotion(members, id)
+    if (promoted) yield * this.append([{ members: promoted }])
+  }
+}
--- /dev/null
+++ b/src/log/_lib/OffsetWaiters/index.ts
@@ -0,0 +1,29 @@
+interface Waiter {
+  offset: number
+  notify: () => void
+}
+
+/** Callers that wait until an offset is applied. */
+export class OffsetWaiters {
+  readonly #waiters = new Set<Waiter>()
+
+  /** Resolves to true when the offset is applied, to false after the time. */
+  wait (offset: number, timeoutMs: number): Promise<boolean> {
+    return new Promise(resolve => {
+      const complete = (isApplied: boolean): void => {
+        clearTimeout(timer)
+        this.#waiters.delete(waiter)
+        resolve(isApplied)
+      }
+      const waiter: Waiter = { offset, notify: () => complete(true) }
+      const timer = setTimeout(() => complete(false), timeoutMs)
+      this.#waiters.add(waiter)
+    })
+  }
+
+  notify (appliedOffset: number): void {
+    for (const waiter of [...this.#waiters]) {
+      if (waiter.offset <= appliedOffset) waiter.notify()
+    }
+  }
+}
--- /dev/null
+++ b/src/log/_lib/ReplicaData/index.ts
@@ -0,0 +1,73 @@
+import type { LogMembers } from '../../../contract/LogMembers'
+import type { ReplicaMessage } from '../../../contract/ReplicaMessage'
+import type { ReplicaVote } from '../../../contract/ReplicaVote'
+import type { ReplicaCoreOptions } from '../../ReplicaCoreOptions'
+import type { ReplicaEffect } from '../../ReplicaEffect'
+import { EntryList } from '../EntryList'
+import { resolveInstance } from '../resolveInstance'
+import { SyncTracker } from '../SyncTracker'
+
+type Envelope = 'from' | 'to' | 'clusterId' | 'term'
+/** A message without its envelope; distributes over the union. */
+type MessageContent = ReplicaMessage extends infer M ? M extends ReplicaMessage ? Omit<M, Envelope> & { term?: number } : never : never
+
+/** State that the parts of a replica share: vote, log, commit offset. */
+export class ReplicaData {
+  readonly id: string
+  readonly instance: string
+  readonly log = new EntryList()
+  readonly syncs: SyncTracker
+  term: number
+  votedFor: string | null
+  commitOffset: number
+
+  constructor ({ vote, snapshot, entries }: ReplicaCoreOptions) {
+    this.id = vote.id
+    this.instance = resolveInstance(vote.id)
+    this.votedFor = vote.votedFor
+    if (snapshot) this.log.reset(snapshot)
+    for (const entry of entries) this.log.append(entry)
+    this.term = Math.max(vote.term, this.log.lastTerm)
+    if (this.term > vote.term) this.votedFor = null
+    this.commitOffset = this.log.baseOffset
+    this.syncs = new SyncTracker(this.log.lastOffset)
+  }
+
+  get clusterId (): string | undefined {
+    return this.log.members?.clusterId
+  }
+
+  get hasPendingMembers (): boolean {
+    return this.log.membersOffset > this.commitOffset
+  }
+
+  /**
+   * The memberships whose majorities decide. While a change is not committed, the majorities of both the old and the
+   * new voters are needed: then no decision relies on a replaced replica being really gone.
+   */
+  get memberships (): LogMembers[] {
+    const { members, previousMembers } = this.log
+    if (!members) return []
+    return this.hasPendingMembers && previousMembers ? [previousMembers, members] : [members]
+  }
+
+  /** Ids of all other voters and learners that count at present. */
+  listOthers (kind: 'voters' | 'all'): string[] {
+    const ids = this.memberships.flatMap(({ voters, learners }) => kind === 'all' ? [...voters, ...learners] : voters)
+    return [...new Set(ids)].filter(id => id !== this.id)
+  }
+
+  isVoter (): boolean {
+    return this.memberships.some(({ voters }) => voters.includes(this.id))
+  }
+
+  createSend (to: string, content: MessageContent): ReplicaEffect {
+    const message = { from: this.id, to, clusterId: this.clusterId, term: this.term, ...content } as ReplicaMessage
+    return { type: 'send', message }
+  }
+
+  createSaveVote (): ReplicaEffect {
+    const vote: ReplicaVote = { id: this.id, term: this.term, votedFor: this.votedFor }
+    return { type: 'saveVote', vote }
+  }
+}
--- /dev/null
+++ b/src/log/_lib/SyncTracker/index.ts
@@ -0,0 +1,39 @@
+/** Knows up to which offset the log is durable while writes are in flight and entries may be replaced. */
+export class SyncTracker {
+  #pending: Array<{ sequence: number, lastOffset: number }> = []
+  #nextSequence = 1
+  #syncedOffset: number
+
+  constructor (syncedOffset: number) {
+    this.#syncedOffset = syncedOffset
+  }
+
+  get syncedOffset (): number {
+    return this.#syncedOffset
+  }
+
+  /** Registers a write of entries up to an offset and returns its sequence number. */
+  startWrite (lastOffset: number): number {
+    const sequence = this.#nextSequence++
+    this.#pending.push({ sequence, lastOffset })
+    return sequence
+  }
+
+  /** All writes up to a sequence number are durable. */
+  handleSynced (sequence: number): void {
+    while (this.#pending.length > 0 && this.#pending[0].sequence <= sequence) {
+      this.#syncedOffset = Math.max(this.#syncedOffset, this.#pending.shift()!.lastOffset)
+    }
+  }
+
+  /** Entries after an offset are replaced: writes of them that are still in flight no longer count. */
+  truncateAfter (offset: number): void {
+    this.#syncedOffset = Math.min(this.#syncedOffset, offset)
+    for (const write of this.#pending) write.lastOffset = Math.min(write.lastOffset, offset)
+  }
+
+  reset (offset: number): void {
+    this.truncateAfter(offset)
+    this.#syncedOffset = offset
+  }
+}
