Distribute settings through relays in each availability zone

Cause: every router fetched from control, so control would feed every router, and a router that starts while its zone is partitioned from control would have no settings.

Change: the first router of a zone fetches from control and the others fetch from it; followers leave sources that fail or whose data no control replica has confirmed for 3 s, but still take what a stale neighbour has. Relays pass the offsets of the observers behind them on, so that control knows where a change is in effect. Results for resent changes are bounded to the newest 20,000.

Not yet run with partitions between real processes.

--- /dev/null
+++ b/src/configuration/LogSource/index.ts
@@ -0,0 +1,13 @@
+/**
+ * @name LogSource
+ * @category Configuration
+ * @summary Where an observer can fetch the settings log: a control replica or a relay.
+ *
+ * @example
+ * const source: LogSource = { name: 'c1', request: (type, body, options) => client.request(type, body, options), send: (type, body) => client.send(type, body) }
+ */
+export interface LogSource {
+  readonly name: string
+  request: (type: string, body: unknown, options: { timeoutMs?: number }) => Promise<unknown>
+  send: (type: string, body: unknown) => boolean
+}
--- /dev/null
+++ b/src/configuration/ObserverTable/test.ts
@@ -0,0 +1,28 @@
+import { ObserverTable } from '.'
+
+const report = (instance: string, incarnation: string, offset: number, ageMs = 0) => ({ instance, incarnation, zone: 'z', offset, ageMs })
+
+describe('ObserverTable', () => {
+  it('keeps the highest offset when reports of one incarnation arrive out of order', () => {
+    const table = new ObserverTable({ liveMs: 100 })
+    table.record(report('r1', 'a', 7), 0)
+    table.record(report('r1', 'a', 5), 1)
+    expect(table.listBehind(7, 1)).toEqual([])
+  })
+
+  it('takes the lower offset of a restarted instance, so that a cold start is not taken for up to date', () => {
+    const table = new ObserverTable({ liveMs: 100 })
+    table.record(report('r1', 'a', 7), 0)
+    table.record(report('r1', 'b', 2), 1)
+    table.record(report('r1', 'a', 7, 50), 2)
+    expect(table.listBehind(7, 2)).toEqual(['r1'])
+  })
+
+  it('drops an observer after the time without report, and counts the age that a relay states', () => {
+    const table = new ObserverTable({ liveMs: 100 })
+    table.record(report('r1', 'a', 1), 0)
+    table.record(report('r2', 'a', 1, 90), 0)
+    expect(table.listBehind(2, 50)).toEqual(['r1'])
+    expect(table.listBehind(2, 101)).toEqual([])
+  })
+})
--- a/src/configuration/SettingsFollower/index.ts
+++ b/src/configuration/SettingsFollower/index.ts
@@ -1,22 +1,29 @@
 import { FetchLogReply } from '../../contract/FetchLogReply'
 import type { FetchLogRequest } from '../../contract/FetchLogRequest'
+import type { LogSource } from '../LogSource'
+import type { ObserverTable } from '../ObserverTable'
+import type { SettingsRelay } from '../SettingsRelay'
 import type { SettingsTree } from '../SettingsTree'
 import type { SettingsView } from '../SettingsView'
 
 const LONG_POLL_MS = 2_000
-const REQUEST_TIMEOUT_MS = 4_000
+const REQUEST_TIMEOUT_MS = 3_000
 const MAX_ENTRIES = 1_000
 const RETRY_DELAY_MS = 100
-
-interface LogSource {
-  request: (type: string, body: unknown, options: { timeoutMs?: number }) => Promise<unknown>
-}
+/** Data that no control replica has confirmed for this time makes the follower try its other sources. */
+const MAX_AGE_MS = 3_000
+/** A follower that uses another source than its first choice returns to the first choice after this time. */
+const PREFER_FIRST_AFTER_MS = 5_000
+const REPORT_INTERVAL_MS = 50
 
 interface SettingsFollowerOptions {
   tree: SettingsTree
   view: SettingsView
+  relay: SettingsRelay
+  /** Observers that fetch from this one; their offsets are passed on to the source. */
+  observers: ObserverTable
   /** Where log entries can be fetched, in order of preference. */
-  sources: () => readonly LogSource[]
+  listSources: () => readonly LogSource[]
 }
 
 /**
@@ -25,20 +32,25 @@
  * @summary Keeps a settings tree up to date from the log.
  *
  * @description
- * Fetches entries after its offset by long poll and moves to the next source when one fails. It never goes back to a
- * lower offset, whatever a source answers.
+ * Fetches entries after its offset by long poll. When a source fails or its data is stale, it moves to the next one; a
+ * stale source still gives what it has, so that an observer that starts in a partitioned availability zone gets the
+ * newest settings found there. It never goes back to a lower offset, whatever a source answers.
  *
- * @param options - Tree and view to update and the sources.
+ * @param options - Tree, view and relay to update, observers behind this one, sources.
  *
  * @example
- * const follower = new SettingsFollower({ tree, view, sources: () => [controlClient] })
+ * const follower = new SettingsFollower({ tree, view, relay, observers, listSources: () => [control] })
  * follower.start()
  * follower.stop()
  */
 export class SettingsFollower {
   readonly #options: SettingsFollowerOptions
   #isRunning = false
-  #next = 0
+  #index = 0
+  #leftFirstAtMs = 0
+  #isSourceStale = false
+  #source?: LogSource
+  #reportTimer?: NodeJS.Timeout
 
   constructor (options: SettingsFollowerOptions) {
     this.#options = options
@@ -51,36 +63,67 @@
 
   stop (): void {
     this.#isRunning = false
+    clearTimeout(this.#reportTimer)
+  }
+
+  /** Passes the offsets of the observers behind this one on to the source, batched. */
+  scheduleReport (): void {
+    this.#reportTimer ??= setTimeout(() => {
+      this.#reportTimer = undefined
+      this.#source?.send('reportOffsets', { reports: this.#options.observers.listLive(performance.now()) })
+    }, REPORT_INTERVAL_MS)
   }
 
   async #run (): Promise<void> {
     while (this.#isRunning) {
-      const sources = this.#options.sources()
-      const source = sources[this.#next % Math.max(sources.length, 1)]
-      const isDone = source !== undefined && await this.#tryFetch(source)
-      if (isDone) continue
-      this.#next++
+      const source = this.#chooseSource()
+      const isFresh = source !== undefined && await this.#tryFetch(source)
+      if (isFresh || !this.#isRunning) continue
+      this.#updateSourceIndex()
       await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS))
     }
   }
 
+  #chooseSource (): LogSource | undefined {
+    const sources = this.#options.listSources()
+    if (this.#index >= sources.length || performance.now() - this.#leftFirstAtMs > PREFER_FIRST_AFTER_MS) this.#index = 0
+    this.#source = sources[this.#index]
+    return this.#source
+  }
+
+  #updateSourceIndex (): void {
+    if (this.#index === 0) this.#leftFirstAtMs = performance.now()
+    this.#index++
+  }
+
   async #tryFetch (source: LogSource): Promise<boolean> {
-    const request: FetchLogRequest = { offset: this.#options.tree.offset, waitMs: LONG_POLL_MS, maxEntries: MAX_ENTRIES }
+    const { tree, relay, observers } = this.#options
+    const request: FetchLogRequest = { offset: tree.offset, waitMs: this.#isSourceStale ? 0 : LONG_POLL_MS, maxEntries: MAX_ENTRIES }
     try {
-      const reply = await source.request('fetchLog', request, { timeoutMs: REQUEST_TIMEOUT_MS })
-      this.#apply(FetchLogReply.parse(reply))
-      return true
+      const reply = FetchLogReply.parse(await source.request('fetchLog', request, { timeoutMs: REQUEST_TIMEOUT_MS }))
+      if (!this.#isRunning) return false
+      this.#apply(reply)
+      relay.recordConfirmation(reply.ageMs, performance.now())
+      if (observers.listLive(performance.now()).length > 0) this.scheduleReport()
+      this.#isSourceStale = reply.ageMs > MAX_AGE_MS
+      return !this.#isSourceStale
     } catch {
+      this.#isSourceStale = false
       return false
     }
   }
 
   #apply (reply: FetchLogReply): void {
-    const { tree, view } = this.#options
+    const { tree, view, relay } = this.#options
     const before = tree.offset
-    if (reply.snapshot && reply.snapshot.offset > tree.offset) tree.install(reply.snapshot.state)
-    for (const { offset, command } of reply.entries) {
-      if (offset === tree.offset + 1) tree.apply(command, offset)
+    if (reply.snapshot && reply.snapshot.offset > tree.offset) {
+      tree.install(reply.snapshot.state)
+      relay.recordSnapshot()
+    }
+    for (const entry of reply.entries) {
+      if (entry.offset !== tree.offset + 1) continue
+      tree.apply(entry.command, entry.offset)
+      relay.record(entry)
     }
     if (tree.offset > before) view.update(tree)
   }
--- /dev/null
+++ b/src/configuration/SettingsFollower/test.ts
@@ -0,0 +1,98 @@
+import { SettingsFollower } from '.'
+import type { FetchLogReply } from '../../contract/FetchLogReply'
+import type { FetchLogRequest } from '../../contract/FetchLogRequest'
+import type { LogSource } from '../LogSource'
+import { ObserverTable } from '../ObserverTable'
+import { SettingsRelay } from '../SettingsRelay'
+import { SettingsTree } from '../SettingsTree'
+import { SettingsView } from '../SettingsView'
+
+const change = (id: number) => ({
+  changeId: `c${id}`, subtree: '/teams/t', operations: [{ path: '/teams/t/drains/x', value: { reason: String(id) } }], operator: 'o', atMs: 0
+})
+
+function createObserver (listSources: () => LogSource[]) {
+  const tree = new SettingsTree()
+  const view = new SettingsView()
+  const relay = new SettingsRelay(tree, { maxEntries: 3 })
+  const observers = new ObserverTable({ liveMs: 1000 })
+  return { tree, view, relay, follower: new SettingsFollower({ tree, view, relay, observers, listSources }) }
+}
+
+function createSource (name: string, fetch: (request: FetchLogRequest) => Promise<FetchLogReply>): LogSource {
+  return { name, request: (_type, body) => fetch(body as FetchLogRequest), send: () => true }
+}
+
+async function waitFor (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+/** A source that has the changes 1 to n, as a control replica (age 0) or as a relay with older data. */
+function createLog (count: number, ageMs: number): LogSource {
+  return createSource('log', async request => {
+    if (request.offset >= count) await new Promise(resolve => setTimeout(resolve, Math.min(request.waitMs, 50)))
+    const entries = Array.from({ length: Math.max(0, count - request.offset) }, (_, index) => ({ offset: request.offset + index + 1, command: change(request.offset + index + 1) }))
+    return { entries, commitOffset: count, ageMs }
+  })
+}
+
+const unreachable = createSource('unreachable', async () => { throw new Error('no link') })
+
+describe('SettingsFollower', () => {
+  it('moves on when a source fails', async () => {
+    const { tree, follower } = createObserver(() => [unreachable, createLog(2, 0)])
+    follower.start()
+    await waitFor(() => tree.offset === 2)
+    follower.stop()
+  })
+
+  it('gets the newest settings of the zone when no control replica is reachable, so that a cold start in a partitioned zone can serve', async () => {
+    const { tree, view, follower } = createObserver(() => [unreachable, createLog(2, 60_000), createLog(4, 90_000)])
+    follower.start()
+    await waitFor(() => tree.offset === 4)
+    expect(view.offset).toBe(4)
+    follower.stop()
+  })
+
+  it('leaves a relay whose data is stale for a control replica that is reachable', async () => {
+    const { tree, follower } = createObserver(() => [createLog(1, 60_000), createLog(3, 0)])
+    follower.start()
+    await waitFor(() => tree.offset === 3)
+    follower.stop()
+  })
+
+  it.each<[string, FetchLogReply]>([
+    ['older entries', { entries: [{ offset: 1, command: change(1) }], commitOffset: 1, ageMs: 0 }],
+    ['entries after a gap', { entries: [{ offset: 9, command: change(9) }], commitOffset: 9, ageMs: 0 }],
+    ['an older snapshot', { entries: [], snapshot: { offset: 1, state: new SettingsTree().getState() }, commitOffset: 1, ageMs: 0 }]
+  ])('ignores %s, so that settings never revert', async (_case, reply) => {
+    let fetches = 0
+    const bad = createSource('bad', async () => {
+      fetches++
+      await new Promise(resolve => setTimeout(resolve, 5))
+      return reply
+    })
+    const { tree, follower } = createObserver(() => [bad])
+    tree.apply(change(1), 1)
+    tree.apply(change(2), 2)
+    follower.start()
+    await waitFor(() => fetches > 2)
+    follower.stop()
+    expect(tree.offset).toBe(2)
+    expect(tree.get('/teams/t/drains/x')).toEqual({ reason: '2' })
+  })
+
+  it('relays entries to an observer that is close and a snapshot to one that is further behind', async () => {
+    const relayer = createObserver(() => [createLog(6, 0)])
+    relayer.follower.start()
+    await waitFor(() => relayer.tree.offset === 6)
+    const near = await relayer.relay.fetch({ offset: 4, waitMs: 0, maxEntries: 10 })
+    expect(near.entries.map(entry => entry.offset)).toEqual([5, 6])
+    const far = createObserver(() => [createSource('relay', request => relayer.relay.fetch({ ...request, waitMs: 20 }))])
+    far.follower.start()
+    await waitFor(() => far.tree.offset === 6)
+    expect(far.tree.get('/teams/t/drains/x')).toEqual({ reason: '6' })
+    relayer.follower.stop()
+    far.follower.stop()
+  })
+})
--- /dev/null
+++ b/src/configuration/SettingsRelay/index.ts
@@ -0,0 +1,90 @@
+import type { FetchLogReply } from '../../contract/FetchLogReply'
+import type { FetchLogRequest } from '../../contract/FetchLogRequest'
+import type { SettingsTree } from '../SettingsTree'
+
+interface LogEntry {
+  offset: number
+  command: unknown
+}
+
+const DEFAULT_MAX_ENTRIES = 1_000
+
+/**
+ * @name SettingsRelay
+ * @category Configuration
+ * @summary Serves the settings log of an observer to other observers of its availability zone.
+ *
+ * @description
+ * Keeps the newest entries; an observer that is further behind gets a snapshot of the tree. `record` is called for each
+ * entry that was applied to the tree, `recordSnapshot` when the tree was replaced, `recordConfirmation` with the age of
+ * data that a source confirmed. Times are milliseconds of the monotonic clock.
+ *
+ * @param tree - The observer's settings tree.
+ * @param options - `maxEntries`: entries to keep.
+ *
+ * @example
+ * const relay = new SettingsRelay(tree)
+ * const reply = await relay.fetch({ offset: 3, waitMs: 1000, maxEntries: 100 })
+ */
+export class SettingsRelay {
+  readonly #tree: SettingsTree
+  readonly #maxEntries: number
+  #entries: LogEntry[] = []
+  #confirmedAtMs = -Infinity
+  readonly #waiters = new Set<() => void>()
+
+  constructor (tree: SettingsTree, options: { maxEntries?: number } = {}) {
+    this.#tree = tree
+    this.#maxEntries = options.maxEntries ?? DEFAULT_MAX_ENTRIES
+  }
+
+  record (entry: LogEntry): void {
+    this.#entries.push(entry)
+    if (this.#entries.length > this.#maxEntries) this.#entries.shift()
+    this.#notifyWaiters()
+  }
+
+  recordSnapshot (): void {
+    this.#entries = []
+    this.#notifyWaiters()
+  }
+
+  recordConfirmation (ageMs: number, nowMs: number): void {
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, nowMs - ageMs)
+  }
+
+  /** Milliseconds since a control replica confirmed the data, directly or through other relays. */
+  getAge (nowMs: number): number {
+    const ageMs = nowMs - this.#confirmedAtMs
+    return Number.isFinite(ageMs) ? ageMs : Number.MAX_SAFE_INTEGER
+  }
+
+  async fetch (request: FetchLogRequest): Promise<FetchLogReply> {
+    if (this.#tree.offset <= request.offset) await this.#waitForNews(request.waitMs)
+    const base = { commitOffset: this.#tree.offset, ageMs: this.getAge(performance.now()) }
+    if (this.#tree.offset <= request.offset) return { ...base, entries: [] }
+    const first = this.#entries[0]
+    if (first && first.offset <= request.offset + 1) {
+      const start = request.offset + 1 - first.offset
+      return { ...base, entries: this.#entries.slice(start, start + request.maxEntries) }
+    }
+    return { ...base, entries: [], snapshot: { offset: this.#tree.offset, state: this.#tree.getState() } }
+  }
+
+  #waitForNews (waitMs: number): Promise<void> {
+    if (waitMs === 0) return Promise.resolve()
+    return new Promise(resolve => {
+      const timer = setTimeout(() => notify(), waitMs)
+      const notify = (): void => {
+        clearTimeout(timer)
+        this.#waiters.delete(notify)
+        resolve()
+      }
+      this.#waiters.add(notify)
+    })
+  }
+
+  #notifyWaiters (): void {
+    for (const notify of [...this.#waiters]) notify()
+  }
+}
--- a/src/configuration/SettingsTree/index.ts
+++ b/src/configuration/SettingsTree/index.ts
@@ -9,6 +9,9 @@
 /** Kinds of settings whose names are unique over the fleet. */
 const UNIQUE_NAME = /^\/teams\/[^/]+\/(accounts|services|targets)\/([^/]+)$/
 
+/** Results kept for resent changes: at 7,000 changes a day they cover almost three days. */
+const MAX_RESULTS = 20_000
+
 /**
  * @name SettingsTree
  * @category Configuration
@@ -16,7 +19,7 @@
  *
  * @description
  * Applies changes in log order. A change is atomic and conditional on the revision of its subtree. The same change id
- * returns the first result. Offsets only grow: a change at an offset that was applied already is ignored.
+ * returns the first result, as long as it is among the newest 20,000. Offsets only grow: a change at an offset that was applied already is ignored.
  *
  * @example
  * const tree = new SettingsTree()
@@ -55,6 +58,7 @@
     if (first) return first
     const result = this.#applyOnce(change.data, offset)
     this.#results.set(change.data.changeId, result)
+    this.#evictResults()
     return result
   }
 
@@ -82,6 +86,14 @@
     for (const path of this.#values.keys()) this.#registerName(path)
   }
 
+  /** Evicts in the order of insertion, which is the same on every replica. */
+  #evictResults (): void {
+    for (const changeId of this.#results.keys()) {
+      if (this.#results.size <= MAX_RESULTS) return
+      this.#results.delete(changeId)
+    }
+  }
+
   #applyOnce (change: SettingsChange, offset: number): SettingsChangeResult {
     const refusal = this.#checkRevision(change) ?? this.#checkOperations(change)
     if (refusal) return refusal
--- a/src/instance/startControl/index.ts
+++ b/src/instance/startControl/index.ts
@@ -1,8 +1,9 @@
 import { randomUUID } from 'node:crypto'
+import { ObserverTable } from '../../configuration/ObserverTable'
 import { SettingsTree } from '../../configuration/SettingsTree'
 import { AppError } from '../../contract/AppError'
 import type { ControlSettings } from '../../contract/ControlSettings'
-import { FetchLogRequest } from '../../contract/FetchLogRequest'
+import type { FetchLogRequest } from '../../contract/FetchLogRequest'
 import type { FetchLogReply } from '../../contract/FetchLogReply'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import { ProposeRequest } from '../../contract/ProposeRequest'
@@ -10,10 +11,13 @@
 import { SettingsChangeResult } from '../../contract/SettingsChangeResult'
 import { LifecycleManager } from '../../lifecycle/LifecycleManager'
 import { LinkServer } from '../../link/LinkServer'
+import type { MessageHandler } from '../../link/MessageHandler'
 import { MemoryLog } from '../../log/MemoryLog'
 import type { ReplicatedLog } from '../../log/ReplicatedLog'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
+import { createObserverHandlers } from '../_lib/createObserverHandlers'
+import { OBSERVER_LIVE_MS } from '../_lib/OBSERVER_LIVE_MS'
 import { parseJsonBody } from '../parseJsonBody'
 import { readBody } from '../readBody'
 import { startHttpServer } from '../startHttpServer'
@@ -44,11 +48,12 @@
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
   const tree = new SettingsTree()
   const log = new MemoryLog(tree)
+  const observers = new ObserverTable({ liveMs: OBSERVER_LIVE_MS })
   const links = new LinkServer({
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' },
     clusterKey: settings.clusterKey,
-    handlers: new Map<string, (body: unknown) => unknown>([
-      ['fetchLog', body => fetchLog(log, FetchLogRequest.parse(body))],
+    handlers: new Map<string, MessageHandler>([
+      ...createObserverHandlers(observers, request => fetchLog(log, request)),
       ['propose', body => log.propose(ProposeRequest.parse(body).command)]
     ])
   })
@@ -88,5 +93,5 @@
 async function fetchLog (log: ReplicatedLog, request: FetchLogRequest): Promise<FetchLogReply> {
   await log.waitForCommit(request.offset, request.waitMs)
   const entries = log.listEntries(request.offset, request.maxEntries) ?? []
-  return { entries, commitOffset: log.commitOffset }
+  return { entries, commitOffset: log.commitOffset, ageMs: 0 }
 }
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -1,17 +1,14 @@
 import { randomUUID } from 'node:crypto'
-import { SettingsFollower } from '../../configuration/SettingsFollower'
-import { SettingsTree } from '../../configuration/SettingsTree'
-import { SettingsView } from '../../configuration/SettingsView'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import type { RouterSettings } from '../../contract/RouterSettings'
 import { LifecycleManager } from '../../lifecycle/LifecycleManager'
-import { LinkClient } from '../../link/LinkClient'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
 import { LocalAdmissionGate } from '../../schedule/LocalAdmissionGate'
 import { TargetClient } from '../../target/TargetClient'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
+import { createSettings } from '../_lib/createSettings'
 import { CallHandler } from '../CallHandler'
 import { startHttpServer } from '../startHttpServer'
 
@@ -37,22 +34,17 @@
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
   const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'router')
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
-  const tree = new SettingsTree()
-  const view = new SettingsView()
+  const { view, ...configuration } = createSettings(settings, lifecycle)
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
-    handlers: new Map(),
+    handlers: configuration.handlers,
     onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message })
   }
   const links = new LinkServer(linkOptions)
   const link = await links.listen(settings.link)
   lifecycle.register('links', () => links.close())
-  const control = settings.control.map(address => new LinkClient(address, linkOptions))
-  lifecycle.register('control links', () => control.forEach(client => client.close()))
-  const follower = new SettingsFollower({ tree, view, sources: () => control })
-  follower.start()
-  lifecycle.register('settings follower', () => follower.stop())
+  configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
   const gate = new LocalAdmissionGate(view)
--- a/src/link/MessageHandlers/index.ts
+++ b/src/link/MessageHandlers/index.ts
@@ -1,4 +1,4 @@
-import type { Link } from '../Link'
+import type { MessageHandler } from '../MessageHandler'
 
 /**
  * @name MessageHandlers
@@ -12,4 +12,4 @@
  * @example
  * const handlers: MessageHandlers = new Map([['ping', () => 'pong']])
  */
-export type MessageHandlers = ReadonlyMap<string, (body: unknown, link: Link) => unknown>
+export type MessageHandlers = ReadonlyMap<string, MessageHandler>
