--- /dev/null
+++ b/src/configuration/waitForObservers/index.ts
@@ -0,0 +1,56 @@
+import type { ObserverReport } from '../../contract/ObserverReport'
+
+const POLL_INTERVAL_MS = 50
+
+interface WaitForObserversOptions {
+  /** Offset that every live observer must reach. */
+  offset: number
+  timeoutMs: number
+  /** Reports of all replicas; the newest report of an instance counts. */
+  collectReports: () => Promise<ObserverReport[]>
+}
+
+interface EffectReport {
+  /** Live observers where the offset is in effect. */
+  applied: string[]
+  /** Live observers that have not reported it in time. */
+  behind: string[]
+}
+
+/**
+ * @name waitForObservers
+ * @category Configuration
+ * @summary Waits until a change is in effect on every live observer.
+ *
+ * @description
+ * An observer counts as live while its reports arrive. The set of live observers may change while this waits. An
+ * instance that no replica hears from is not in the result.
+ *
+ * @param options - Offset, time limit in milliseconds, source of the reports.
+ * @returns Where the change is in effect and where not.
+ *
+ * @example
+ * const { behind } = await waitForObservers({ offset: 17, timeoutMs: 5000, collectReports })
+ */
+export async function waitForObservers (options: WaitForObserversOptions): Promise<EffectReport> {
+  const deadlineAtMs = performance.now() + options.timeoutMs
+  for (;;) {
+    const report = splitByOffset(await options.collectReports(), options.offset)
+    if (report.behind.length === 0 || performance.now() >= deadlineAtMs) return report
+    await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS))
+  }
+}
+
+function splitByOffset (reports: ObserverReport[], offset: number): EffectReport {
+  const newest = new Map<string, ObserverReport>()
+  for (const report of reports) {
+    const known = newest.get(report.instance)
+    const isNewer = !known || (known.incarnation === report.incarnation ? report.offset > known.offset : report.ageMs < known.ageMs)
+    if (isNewer) newest.set(report.instance, report)
+  }
+  const sorted = [...newest.values()].sort((a, b) => a.instance < b.instance ? -1 : 1)
+  return {
+    applied: sorted.filter(report => report.offset >= offset).map(report => report.instance),
+    behind: sorted.filter(report => report.offset < offset).map(report => report.instance)
+  }
+}
--- /dev/null
+++ b/src/configuration/waitForObservers/test.ts
@@ -0,0 +1,22 @@
+import { waitForObservers } from '.'
+import type { ObserverReport } from '../../contract/ObserverReport'
+
+const report = (instance: string, offset: number, ageMs = 0, incarnation = 'a'): ObserverReport => ({ instance, incarnation, zone: 'z', offset, ageMs })
+
+describe('waitForObservers', () => {
+  it('names the observers that have not reported the offset, so that an operator does not take a change for in effect', async () => {
+    const result = await waitForObservers({ offset: 5, timeoutMs: 60, collectReports: async () => [report('r1', 5), report('r2', 4)] })
+    expect(result).toEqual({ applied: ['r1'], behind: ['r2'] })
+  })
+
+  it('returns as soon as all have reported, taking the newest of several replicas', async () => {
+    let offset = 3
+    const collectReports = async () => [report('r1', offset++), report('r1', 2)]
+    expect(await waitForObservers({ offset: 5, timeoutMs: 10_000, collectReports })).toEqual({ applied: ['r1'], behind: [] })
+  })
+
+  it('takes the newer incarnation of a restarted observer although its offset is lower', async () => {
+    const collectReports = async () => [report('r1', 9, 3000, 'old'), report('r1', 1, 10, 'new')]
+    expect(await waitForObservers({ offset: 5, timeoutMs: 0, collectReports })).toEqual({ applied: [], behind: ['r1'] })
+  })
+})
--- /dev/null
+++ b/src/instance/_lib/createPeerDirectory/index.ts
@@ -0,0 +1,19 @@
+import type { RouterSettings } from '../../../contract/RouterSettings'
+import type { LifecycleManager } from '../../../lifecycle/LifecycleManager'
+import { PeerDirectory } from '../../../membership/PeerDirectory'
+import { PlatformListPoller } from '../../../membership/PlatformListPoller'
+import type { PartLogger } from '../../../telemetry/PartLogger'
+
+/** Directory of the other routers; follows the platform's list if the settings name one. */
+export function createPeerDirectory (settings: RouterSettings, logger: PartLogger, lifecycle: LifecycleManager): PeerDirectory {
+  const directory = new PeerDirectory({ self: settings.instance, initial: settings.routers })
+  if (!settings.membershipUrl) return directory
+  const poller = new PlatformListPoller({
+    url: settings.membershipUrl,
+    onList: instances => directory.update(instances),
+    onError: error => logger.warn('The platform list is not available.', { reason: String(error) })
+  })
+  poller.start()
+  lifecycle.register('platform list', () => poller.stop())
+  return directory
+}
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -8,6 +8,7 @@
 import { TargetClient } from '../../target/TargetClient'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
+import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
 import { CallHandler } from '../CallHandler'
 import { startHttpServer } from '../startHttpServer'
@@ -34,7 +35,8 @@
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
   const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'router')
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
-  const { view, ...configuration } = createSettings(settings, lifecycle)
+  const directory = createPeerDirectory(settings, logger, lifecycle)
+  const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
--- /dev/null
+++ b/src/membership/PeerDirectory/test.ts
@@ -0,0 +1,17 @@
+import { PeerDirectory } from '.'
+import type { PlatformInstance } from '../../contract/PlatformInstance'
+
+const initial = [{ instance: 'r2', zone: 'z', host: '127.0.0.1', port: 2 }]
+const listed = (instance: string, port: number): PlatformInstance => ({ instance, kind: 'router', zone: 'z', state: 'live', host: '127.0.0.1', port })
+
+describe('PeerDirectory', () => {
+  it('follows replaced and new routers of the list and keeps those of the settings file, so that a lagging list cuts no peer off', () => {
+    const directory = new PeerDirectory({ self: 'r1', initial })
+    const seen: string[][] = []
+    directory.subscribe(peers => seen.push(peers.map(peer => `${peer.instance}:${peer.port}`)))
+    directory.update([listed('r1', 1), listed('r2', 22), listed('r3', 3)])
+    directory.update([listed('r1', 1), listed('r2', 22), listed('r3', 3)])
+    directory.update([])
+    expect(seen).toEqual([['r2:2'], ['r2:22', 'r3:3'], ['r2:2']])
+  })
+})
