--- a/src/configuration/waitForObservers/index.ts
+++ b/src/configuration/waitForObservers/index.ts
@@ -35,13 +35,13 @@
 export async function waitForObservers (options: WaitForObserversOptions): Promise<EffectReport> {
   const deadlineAtMs = performance.now() + options.timeoutMs
   for (;;) {
-    const report = splitByOffset(await options.collectReports(), options.offset)
+    const report = filterByOffset(await options.collectReports(), options.offset)
     if (report.behind.length === 0 || performance.now() >= deadlineAtMs) return report
     await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS))
   }
 }
 
-function splitByOffset (reports: ObserverReport[], offset: number): EffectReport {
+function filterByOffset (reports: ObserverReport[], offset: number): EffectReport {
   const newest = new Map<string, ObserverReport>()
   for (const report of reports) {
     const known = newest.get(report.instance)
