Update the settings view by difference

Change: the view compares each value with the one of the last update and parses only what changed; keys, targets and windows are removed singly.

--- a/src/configuration/SettingsView/index.ts
+++ b/src/configuration/SettingsView/index.ts
@@ -12,7 +12,8 @@
  * @summary Typed and indexed view of the settings tree.
  *
  * @description
- * Rebuilt by `update` after changes; look-ups take constant time. Values are checked by the tree already.
+ * `update` parses only the values that changed since the last update, so that its cost with thousands of accounts stays
+ * small. Look-ups take constant time. Values are checked by the tree already.
  *
  * @example
  * view.update(tree)
@@ -20,13 +21,15 @@
  */
 export class SettingsView {
   #offset = 0
-  #accounts = new Map<string, Named<ClientAccount>>()
-  #accountByKeyHash = new Map<string, Named<ClientAccount>>()
-  #services = new Map<string, Named<Service>>()
-  #targets = new Map<string, Named<Target>>()
-  #targetsByService = new Map<string, Array<Named<Target>>>()
-  #windows: Array<Named<MaintenanceWindow>> = []
-  #drained = new Set<string>()
+  /** Values of the last update by path; the tree keeps the same object while a value is unchanged. */
+  #known = new Map<string, unknown>()
+  readonly #accounts = new Map<string, Named<ClientAccount>>()
+  readonly #accountByKeyHash = new Map<string, Named<ClientAccount>>()
+  readonly #services = new Map<string, Named<Service>>()
+  readonly #targets = new Map<string, Named<Target>>()
+  readonly #targetsByService = new Map<string, Array<Named<Target>>>()
+  readonly #windows = new Map<string, Named<MaintenanceWindow>>()
+  readonly #drained = new Set<string>()
   readonly #listeners = new Set<() => void>()
 
   /** Log offset of the newest change in this view. */
@@ -67,7 +70,7 @@
   }
 
   listWindows (): ReadonlyArray<Named<MaintenanceWindow>> {
-    return this.#windows
+    return [...this.#windows.values()]
   }
 
   isDrainedByOperator (target: string): boolean {
@@ -81,40 +84,57 @@
   }
 
   update (tree: SettingsTree): void {
-    this.#clear()
     this.#offset = tree.offset
-    for (const [path, value] of tree.list('/teams')) this.#add(path, value)
+    const current = new Map(tree.list('/teams'))
+    for (const [path, value] of this.#known) {
+      if (current.get(path) !== value) this.#remove(path)
+    }
+    for (const [path, value] of current) {
+      if (this.#known.get(path) !== value) this.#add(path, value)
+    }
+    this.#known = current
     for (const listener of this.#listeners) listener()
   }
 
-  #clear (): void {
-    this.#accounts = new Map()
-    this.#accountByKeyHash = new Map()
-    this.#services = new Map()
-    this.#targets = new Map()
-    this.#targetsByService = new Map()
-    this.#windows = []
-    this.#drained = new Set()
-  }
-
   #add (path: string, value: unknown): void {
     const [, , , kind, name] = path.split('/')
     if (kind === 'accounts') this.#addAccount({ ...ClientAccount.parse(value), name })
     else if (kind === 'services') this.#services.set(name, { ...Service.parse(value), name })
     else if (kind === 'targets') this.#addTarget({ ...Target.parse(value), name })
-    else if (kind === 'windows') this.#windows.push({ ...MaintenanceWindow.parse(value), name })
+    else if (kind === 'windows') this.#windows.set(path, { ...MaintenanceWindow.parse(value), name })
     else if (kind === 'drains') this.#drained.add(name)
   }
 
+  #remove (path: string): void {
+    const [, , , kind, name] = path.split('/')
+    if (kind === 'accounts') this.#removeAccount(name)
+    else if (kind === 'services') this.#services.delete(name)
+    else if (kind === 'targets') this.#removeTarget(name)
+    else if (kind === 'windows') this.#windows.delete(path)
+    else if (kind === 'drains') this.#drained.delete(name)
+  }
+
   #addAccount (account: Named<ClientAccount>): void {
     this.#accounts.set(account.name, account)
     for (const keyHash of account.keyHashes) this.#accountByKeyHash.set(keyHash, account)
   }
 
+  #removeAccount (name: string): void {
+    for (const keyHash of this.#accounts.get(name)?.keyHashes ?? []) {
+      if (this.#accountByKeyHash.get(keyHash)?.name === name) this.#accountByKeyHash.delete(keyHash)
+    }
+    this.#accounts.delete(name)
+  }
+
   #addTarget (target: Named<Target>): void {
     this.#targets.set(target.name, target)
-    const targets = this.#targetsByService.get(target.service)
-    if (targets) targets.push(target)
-    else this.#targetsByService.set(target.service, [target])
+    this.#targetsByService.set(target.service, [...this.listTargets(target.service), target])
+  }
+
+  #removeTarget (name: string): void {
+    const target = this.#targets.get(name)
+    if (!target) return
+    this.#targets.delete(name)
+    this.#targetsByService.set(target.service, this.listTargets(target.service).filter(other => other.name !== name))
   }
 }
