Replicate the settings log over three control processes

Cause: the control process kept its log in memory, so a restart lost every change.

ControlLogs runs one replica of each log group in the control process; ReplicaLinks is the transport. LogClient asks the replica that a refusal names as leader.

The data directory of test/thinPath is now a temporary one, because control writes to it.

--- /dev/null
+++ b/src/instance/_lib/ControlLogs/index.ts
@@ -0,0 +1,122 @@
+import { join } from 'node:path'
+import { AppError } from '../../../contract/AppError'
+import { ConfirmReadRequest } from '../../../contract/ConfirmReadRequest'
+import type { ControlSettings } from '../../../contract/ControlSettings'
+import type { LogGroup } from '../../../contract/LogGroup'
+import { ProposeRequest } from '../../../contract/ProposeRequest'
+import { ReplicateRequest } from '../../../contract/ReplicateRequest'
+import type { LinkOptions } from '../../../link/LinkOptions'
+import type { MessageHandler } from '../../../link/MessageHandler'
+import type { FileSystem } from '../../../log/FileSystem'
+import { LogStorage } from '../../../log/LogStorage'
+import { LogTask } from '../../../log/LogTask'
+import type { LogStatus } from '../../../log/LogStatus'
+import { NodeFileSystem } from '../../../log/NodeFileSystem'
+import type { StateMachine } from '../../../log/StateMachine'
+import type { PartLogger } from '../../../telemetry/PartLogger'
+import { ReplicaLinks } from '../ReplicaLinks'
+import { SnapshotParts } from '../SnapshotParts'
+
+interface ControlLogsOptions {
+  settings: ControlSettings
+  /** State machine of each group that runs. */
+  machines: Partial<Record<LogGroup, StateMachine>>
+  logger: PartLogger
+  /** Called once when a disk fails or a log is corrupted; the process must end. */
+  onFatal: (error: AppError) => void
+  fileSystem?: FileSystem
+}
+
+/** The replicas of all log groups in a control process. */
+export class ControlLogs {
+  readonly #options: ControlLogsOptions
+  readonly #storages: Map<LogGroup, LogStorage>
+  readonly #tasks = new Map<LogGroup, LogTask>()
+  readonly #parts = new Map<string, SnapshotParts>()
+  #links: ReplicaLinks | undefined
+
+  private constructor (options: ControlLogsOptions, storages: Map<LogGroup, LogStorage>) {
+    this.#options = options
+    this.#storages = storages
+  }
+
+  /**
+   * Loads the logs from the disk.
+   *
+   * @throws AppError `log-corrupted` or `disk-failed`.
+   */
+  static async open (options: ControlLogsOptions): Promise<ControlLogs> {
+    const { settings, machines } = options
+    const fileSystem = options.fileSystem ?? new NodeFileSystem()
+    const storages = new Map<LogGroup, LogStorage>()
+    for (const group of Object.keys(machines) as LogGroup[]) {
+      const directory = join(settings.dataDir, group)
+      storages.set(group, await LogStorage.open({ fileSystem, directory, instance: settings.instance }))
+    }
+    return new ControlLogs(options, storages)
+  }
+
+  /** Handlers that the link server of the process needs. */
+  get handlers (): Map<string, MessageHandler> {
+    return new Map<string, MessageHandler>([
+      ['ping', () => 'pong'],
+      ['propose', body => {
+        const { group, command } = ProposeRequest.parse(body)
+        return this.getLog(group).proposeHere(command)
+      }],
+      ['confirmRead', body => this.getLog(ConfirmReadRequest.parse(body).group).confirmReadHere()],
+      ['replicate', (body, link) => this.#handleReplicate(ReplicateRequest.parse(body), link.peer.instance)],
+      ['getLogStatus', () => this.listStatuses()]
+    ])
+  }
+
+  /** Connects to the other replicas and starts all groups. */
+  start (linkOptions: Pick<LinkOptions, 'identity' | 'clusterKey'>): void {
+    const { settings, machines, logger, onFatal } = this.#options
+    const peers = settings.replicas.filter(({ instance }) => instance !== settings.instance)
+    this.#links = new ReplicaLinks(peers, { ...linkOptions, handlers: new Map() })
+    for (const [group, storage] of this.#storages) {
+      const task = new LogTask({
+        storage,
+        machine: machines[group]!,
+        transport: this.#links.createTransport(group),
+        peers: peers.map(({ instance }) => instance),
+        snapshotEvery: settings.snapshotEvery,
+        onFatal,
+        onRoleChanged: change => logger.info('The role changed.', { group, ...change })
+      })
+      this.#tasks.set(group, task)
+      task.start()
+    }
+  }
+
+  /**
+   * @throws AppError `control-unavailable` if this process has no replica of the group.
+   */
+  getLog (group: LogGroup): LogTask {
+    const task = this.#tasks.get(group)
+    if (!task) throw new AppError('control-unavailable', `The log group ${group} does not run here.`)
+    return task
+  }
+
+  /** State of this process's replica of each group. */
+  listStatuses (): Array<LogStatus & { group: LogGroup }> {
+    return [...this.#tasks].map(([group, task]) => ({ group, ...task.getStatus() }))
+  }
+
+  async close (): Promise<void> {
+    this.#links?.close()
+    for (const task of this.#tasks.values()) await task.close()
+  }
+
+  #handleReplicate (request: ReplicateRequest, peer: string): void {
+    const key = `${request.group} ${peer}`
+    const parts = this.#parts.get(key) ?? new SnapshotParts()
+    this.#parts.set(key, parts)
+    const message = parts.accept(request)
+    if (!message) return
+    // Decoded commands share the memory of the received chunk, which is larger than them.
+    if (message.type === 'append') message.entries = message.entries.map(entry => ({ ...entry, command: entry.command && Uint8Array.from(entry.command) }))
+    this.#tasks.get(request.group)?.handleMessage(message)
+  }
+}
--- /dev/null
+++ b/src/instance/_lib/ReplicaLinks/index.ts
@@ -0,0 +1,53 @@
+import { AppError } from '../../../contract/AppError'
+import type { LogGroup } from '../../../contract/LogGroup'
+import type { PeerAddress } from '../../../contract/PeerAddress'
+import { LinkClient } from '../../../link/LinkClient'
+import type { LinkOptions } from '../../../link/LinkOptions'
+import type { ReplicaTransport } from '../../../log/ReplicaTransport'
+import { SnapshotParts } from '../SnapshotParts'
+
+const PING_INTERVAL_MS = 1_000
+/** A link without a reply for this time is replaced: behind a silent partition, TCP alone would wait for minutes. */
+const PING_TIMEOUT_MS = 2_000
+
+/** Links of a control process to the other replicas. Each replica sends on its own links, and replies likewise. */
+export class ReplicaLinks {
+  readonly #clients: Map<string, LinkClient>
+  readonly #timer: NodeJS.Timeout
+
+  constructor (peers: readonly PeerAddress[], options: LinkOptions) {
+    this.#clients = new Map(peers.map(peer => [peer.instance, new LinkClient(peer, options)]))
+    this.#timer = setInterval(() => {
+      for (const client of this.#clients.values()) void checkLink(client)
+    }, PING_INTERVAL_MS)
+  }
+
+  createTransport (group: LogGroup): ReplicaTransport {
+    return {
+      send: message => {
+        const client = this.#clients.get(message.to.split(':')[0])
+        if (!client) return
+        for (const request of SnapshotParts.listParts(group, message)) client.send('replicate', request)
+      },
+      request: (instance, type, body, options) => {
+        const client = this.#clients.get(instance)
+        if (!client) return Promise.reject(new AppError('control-unavailable', `There is no link to ${instance}.`))
+        return client.request(type, { group, command: body }, options)
+      }
+    }
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+    for (const client of this.#clients.values()) client.close()
+  }
+}
+
+async function checkLink (client: LinkClient): Promise<void> {
+  const { link } = client
+  try {
+    await link?.request('ping', null, { timeoutMs: PING_TIMEOUT_MS })
+  } catch {
+    link?.close()
+  }
+}
--- a/src/instance/startControl/index.ts
+++ b/src/instance/startControl/index.ts
@@ -3,19 +3,18 @@
 import { SettingsTree } from '../../configuration/SettingsTree'
 import { AppError } from '../../contract/AppError'
 import type { ControlSettings } from '../../contract/ControlSettings'
-import type { FetchLogRequest } from '../../contract/FetchLogRequest'
-import type { FetchLogReply } from '../../contract/FetchLogReply'
+import { errorTable } from '../../contract/errorTable'
+import type { LinkIdentity } from '../../contract/LinkIdentity'
 import type { ListenAddress } from '../../contract/ListenAddress'
-import { ProposeRequest } from '../../contract/ProposeRequest'
 import { SettingsChange } from '../../contract/SettingsChange'
 import { SettingsChangeResult } from '../../contract/SettingsChangeResult'
 import { LifecycleManager } from '../../lifecycle/LifecycleManager'
 import { LinkServer } from '../../link/LinkServer'
-import type { MessageHandler } from '../../link/MessageHandler'
-import { MemoryLog } from '../../log/MemoryLog'
-import type { ReplicatedLog } from '../../log/ReplicatedLog'
+import { TargetCommandTable } from '../../target/TargetCommandTable'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
+import { ControlLogs } from '../_lib/ControlLogs'
+import { createFetchReply } from '../_lib/createFetchReply'
 import { createObserverHandlers } from '../_lib/createObserverHandlers'
 import { OBSERVER_LIVE_MS } from '../_lib/OBSERVER_LIVE_MS'
 import { parseJsonBody } from '../parseJsonBody'
@@ -47,18 +46,25 @@
   const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'control')
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
   const tree = new SettingsTree()
-  const log = new MemoryLog(tree)
-  const observers = new ObserverTable({ liveMs: OBSERVER_LIVE_MS })
-  const links = new LinkServer({
-    identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' },
-    clusterKey: settings.clusterKey,
-    handlers: new Map<string, MessageHandler>([
-      ...createObserverHandlers(observers, request => fetchLog(log, request)),
-      ['propose', body => log.propose(ProposeRequest.parse(body).command)]
-    ])
+  const logs = await ControlLogs.open({
+    settings,
+    machines: { settings: tree, commands: new TargetCommandTable() },
+    logger,
+    onFatal: error => {
+      logger.error('The process ends.', { kind: error.kind, reason: error.message })
+      process.exit(errorTable[error.kind].exitCode)
+    }
   })
+  const observers = new ObserverTable({ liveMs: OBSERVER_LIVE_MS })
+  const identity: LinkIdentity = { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' }
+  const { clusterKey } = settings
+  const observerHandlers = createObserverHandlers(observers, request => createFetchReply(logs.getLog('settings'), tree, request))
+  const links = new LinkServer({ identity, clusterKey, handlers: new Map([...observerHandlers, ...logs.handlers]) })
   const link = await links.listen(settings.link)
   lifecycle.register('links', () => links.close())
+  logs.start({ identity, clusterKey })
+  lifecycle.register('logs', () => logs.close())
+  const log = logs.getLog('settings')
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
     {
@@ -89,9 +95,3 @@
   logger.info('Started.', { port: http.port })
   return { http, link, close: () => lifecycle.close() }
 }
-
-async function fetchLog (log: ReplicatedLog, request: FetchLogRequest): Promise<FetchLogReply> {
-  await log.waitForCommit(request.offset, request.waitMs)
-  const entries = log.listEntries(request.offset, request.maxEntries) ?? []
-  return { entries, commitOffset: log.commitOffset, ageMs: 0 }
-}
--- a/src/log/LogClient/index.ts
+++ b/src/log/LogClient/index.ts
@@ -7,6 +7,8 @@
 
 /** A connection to one control replica, for example a LinkClient. */
 interface ReplicaConnection {
+  /** The open link, from which the name of the replica is known. */
+  readonly link?: { peer: { instance: string } }
   request: (type: string, body: unknown, options: { timeoutMs?: number }) => Promise<unknown>
 }
 
@@ -17,7 +19,7 @@
  *
  * @description
  * Tries the replicas in turn until one accepts the command. A replica that does not lead refuses without appending, so
- * the next one is asked. When a replica was asked and did not reply, the command may be committed: the call fails with
+ * the one that it names as leader is asked, otherwise the next one. When a replica was asked and did not reply, the command may be committed: the call fails with
  * `control-unavailable` and outcome `unknown`. Commands that carry an id of their own may be proposed again.
  *
  * @param replicas - Connections to the control replicas.
@@ -43,21 +45,27 @@
         const timeoutMs = Math.max(1, deadlineAtMs - performance.now())
         const attempt = await this.#tryPropose({ group, command }, timeoutMs)
         if (attempt.isDone) return attempt.result
-        this.#preferred = (this.#preferred + 1) % this.#replicas.length
+        this.#preferred = this.#chooseNext(attempt.leader)
       }
       await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS))
     }
     throw new AppError('control-unavailable', 'No control replica leads the log.')
   }
 
-  async #tryPropose (body: { group: LogGroup, command: unknown }, timeoutMs: number): Promise<{ isDone: boolean, result?: unknown }> {
+  #chooseNext (leader: unknown): number {
+    const next = (this.#preferred + 1) % this.#replicas.length
+    const named = this.#replicas.findIndex(({ link }) => link !== undefined && link.peer.instance === leader)
+    return named === -1 || named === this.#preferred ? next : named
+  }
+
+  async #tryPropose (body: { group: LogGroup, command: unknown }, timeoutMs: number): Promise<{ isDone: boolean, result?: unknown, leader?: unknown }> {
     try {
       const result = await this.#replicas[this.#preferred].request('propose', body, { timeoutMs })
       return { isDone: true, result }
     } catch (thrown) {
       const error = convertToAppError(thrown)
       if (error.outcome !== 'not-run') throw error
-      return { isDone: false }
+      return { isDone: false, leader: error.details?.leader }
     }
   }
 }
--- /dev/null
+++ b/test/_lib/ControlCluster/index.ts
@@ -0,0 +1,133 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { SettingsTree } from '../../../src/configuration/SettingsTree'
+import { FetchLogReply } from '../../../src/contract/FetchLogReply'
+import type { SettingsChange } from '../../../src/contract/SettingsChange'
+import type { SettingsChangeResult } from '../../../src/contract/SettingsChangeResult'
+import { LinkClient } from '../../../src/link/LinkClient'
+import { LogClient } from '../../../src/log/LogClient'
+import type { LogStatus } from '../../../src/log/LogStatus'
+import { startProcess } from '../startProcess'
+
+const CLUSTER_KEY = 'cluster-key-for-tests'
+
+async function findFreePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
+/** Control processes with their data directories and a client that proposes to them. */
+export class ControlCluster {
+  readonly directory = mkdtempSync(join(tmpdir(), 'papayalead-log-'))
+  readonly processes: Array<Awaited<ReturnType<typeof startProcess>> | undefined> = []
+  readonly links: LinkClient[] = []
+  readonly client: LogClient
+  readonly #ports: number[]
+
+  private constructor (ports: number[]) {
+    this.#ports = ports
+    const identity = { instance: 'test', incarnation: 'test', zone: 'z1', role: 'operator' as const }
+    this.links = ports.map(port => new LinkClient({ host: '127.0.0.1', port }, { identity, clusterKey: CLUSTER_KEY, handlers: new Map() }))
+    this.client = new LogClient(this.links)
+  }
+
+  static async start (size: number): Promise<ControlCluster> {
+    const ports = await Promise.all(Array.from({ length: size }, findFreePort))
+    const cluster = new ControlCluster(ports)
+    await Promise.all(ports.map((_port, index) => cluster.startReplica(index)))
+    return cluster
+  }
+
+  async startReplica (index: number): Promise<void> {
+    const addresses = this.#ports.map((port, i) => ({ instance: `c${i + 1}`, zone: 'z1', host: '127.0.0.1', port }))
+    const { zone, instance, ...link } = addresses[index]
+    this.processes[index] = await startProcess(['control'], {
+      instance,
+      zone,
+      link,
+      http: { host: '127.0.0.1', port: 0 },
+      clusterKey: CLUSTER_KEY,
+      replicas: addresses,
+      dataDir: this.getDataDir(index),
+      snapshotEvery: 200,
+      logLevel: 'error'
+    })
+  }
+
+  getDataDir (index: number): string {
+    return join(this.directory, `c${index + 1}`)
+  }
+
+  /** kill -9. */
+  async kill (index: number): Promise<void> {
+    this.processes[index]?.signal('SIGKILL')
+    await this.processes[index]?.exitCode
+    this.processes[index] = undefined
+  }
+
+  async loseDisk (index: number): Promise<void> {
+    await this.kill(index)
+    rmSync(this.getDataDir(index), { recursive: true })
+  }
+
+  /** Proposes a change until its result is known. */
+  async change (changeId: string, options: { weight?: number, expectedRevision?: number } = {}): Promise<SettingsChangeResult> {
+    const path = `/teams/t/accounts/${changeId}`
+    const value = { keyHashes: [], services: ['*'], weight: options.weight ?? 1 }
+    const change: SettingsChange = { changeId, subtree: '/teams/t', expectedRevision: options.expectedRevision, operations: [{ path, value }], operator: 'test', atMs: 0 }
+    for (;;) {
+      try {
+        return await this.client.propose('settings', change, { timeoutMs: 2_000 }) as SettingsChangeResult
+      } catch {}
+    }
+  }
+
+  async getStatus (index: number): Promise<LogStatus | undefined> {
+    try {
+      const statuses = await this.links[index].request('getLogStatus', null, { timeoutMs: 500 }) as Array<LogStatus & { group: string }>
+      return statuses.find(({ group }) => group === 'settings')
+    } catch {
+      return undefined
+    }
+  }
+
+  /** Index of the leader that a majority of the running replicas follows. */
+  async waitForLeader (): Promise<number> {
+    let leader = -1
+    await this.waitFor(async () => {
+      const statuses = await Promise.all(this.links.map((_link, index) => this.getStatus(index)))
+      leader = statuses.findIndex(status => status?.role === 'leader' && statuses.filter(other => other?.leader === status.instance && other.term === status.term).length > statuses.length / 2)
+      return leader !== -1
+    })
+    return leader
+  }
+
+  /** The settings as an observer of one replica gets them. */
+  async fetchTree (index: number): Promise<SettingsTree> {
+    const tree = new SettingsTree()
+    for (;;) {
+      const reply = FetchLogReply.parse(await this.links[index].request('fetchLog', { offset: tree.offset, waitMs: 0, maxEntries: 1000 }))
+      if (reply.snapshot) tree.install(reply.snapshot.state)
+      for (const { offset, command } of reply.entries) tree.apply(command, offset)
+      if (tree.offset >= reply.commitOffset) return tree
+    }
+  }
+
+  async waitFor (condition: () => Promise<boolean>): Promise<void> {
+    while (!await condition()) await new Promise(resolve => setTimeout(resolve, 20))
+  }
+
+  async close (): Promise<void> {
+    for (const link of this.links) link.close()
+    for (const index of this.processes.keys()) {
+      this.processes[index]?.signal('SIGCONT')
+      await this.kill(index)
+    }
+    rmSync(this.directory, { recursive: true })
+  }
+}
--- a/test/thinPath.test.ts
+++ b/test/thinPath.test.ts
@@ -1,4 +1,7 @@
 import { createHash } from 'node:crypto'
+import { mkdtempSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { startProcess } from './_lib/startProcess'
 
 const CLUSTER_KEY = 'cluster-key-for-tests'
@@ -9,7 +12,7 @@
     const engine = await startProcess(['stand-in', 'engine'])
     const booking = await startProcess(['stand-in', 'booking'])
     const control = await startProcess(['control'], {
-      instance: 'c1', zone: 'z1', http: { host: '127.0.0.1', port: 0 }, link: { host: '127.0.0.1', port: 0 }, clusterKey: CLUSTER_KEY, replicas: [], dataDir: '/tmp/unused'
+      instance: 'c1', zone: 'z1', http: { host: '127.0.0.1', port: 0 }, link: { host: '127.0.0.1', port: 0 }, clusterKey: CLUSTER_KEY, replicas: [], dataDir: mkdtempSync(join(tmpdir(), 'papayalead-data-'))
     })
     const router = await startProcess(['router'], {
       instance: 'r1',
