--- a/src/contract/ReplicaMessage/index.ts
+++ b/src/contract/ReplicaMessage/index.ts
@@ -40,7 +40,6 @@
     isAccepted: z.boolean(),
     matchOffset: count,
     conflictOffset: count,
-    commitOffset: count,
     readSequence: count
   }),
   z.object({ type: z.literal('installSnapshot'), ...envelope, snapshot: LogSnapshot }),
--- a/src/log/LogStatus/index.ts
+++ b/src/log/LogStatus/index.ts
@@ -7,8 +7,8 @@
  *
  * @description
  * `leader`: instance that leads, if known. `members`: only the leader knows `lag`, the number of entries that a member
- * has not synced yet. `isSettled`: false while a membership change is not known to a majority as committed; until then
- * the loss of another disk may stop the group. `isMember`: false until this replica has joined.
+ * has not synced yet. `isSettled`: false while a membership change is not complete; until then the loss of
+ * another disk may stop the group. `isMember`: false until this replica has joined.
  *
  * @example
  * const { role, term, leader } = log.getStatus()
--- a/src/log/ReplicaCore/index.ts
+++ b/src/log/ReplicaCore/index.ts
@@ -162,7 +162,7 @@
     if (!this.#data.isVoter()) return
     yield * this.#setRole('preCandidate', undefined)
     this.#votes = new Set([this.#data.id])
-    if (hasQuorum(this.#data.memberships, id => this.#votes.has(id))) return yield * this.#startElection(nowMs)
+    if (hasQuorum(this.#data.voterSets, id => this.#votes.has(id))) return yield * this.#startElection(nowMs)
     const { lastOffset, lastTerm } = this.#data.log
     for (const id of this.#data.listOthers('voters')) {
       yield this.#data.createSend(id, { type: 'preVote', term: this.#data.term + 1, lastOffset, lastTerm })
@@ -177,7 +177,7 @@
     yield this.#data.createSaveVote()
     yield * this.#setRole('candidate', undefined)
     this.#votes = new Set([this.#data.id])
-    if (hasQuorum(this.#data.memberships, id => this.#votes.has(id))) return yield * this.#startLeading(nowMs)
+    if (hasQuorum(this.#data.voterSets, id => this.#votes.has(id))) return yield * this.#startLeading(nowMs)
     const { lastOffset, lastTerm } = this.#data.log
     for (const id of this.#data.listOthers('voters')) yield this.#data.createSend(id, { type: 'vote', lastOffset, lastTerm })
   }
@@ -247,7 +247,7 @@
       : this.#role === 'candidate' && message.term === this.#data.term
     if (!isExpected) return
     this.#votes.add(message.from)
-    if (!hasQuorum(this.#data.memberships, id => this.#votes.has(id))) return
+    if (!hasQuorum(this.#data.voterSets, id => this.#votes.has(id))) return
     yield * isPreVote ? this.#startElection(nowMs) : this.#startLeading(nowMs)
   }
 
--- a/src/log/_lib/EntryList/index.ts
+++ b/src/log/_lib/EntryList/index.ts
@@ -40,10 +40,6 @@
     return this.#memberships.at(-1)?.members
   }
 
-  get previousMembers (): LogMembers | undefined {
-    return this.#memberships.at(-2)?.members
-  }
-
   getMembersAt (offset: number): LogMembers | undefined {
     return this.#memberships.findLast(membership => membership.offset <= offset)?.members
   }
--- a/src/log/_lib/EntryReceiver/index.ts
+++ b/src/log/_lib/EntryReceiver/index.ts
@@ -60,8 +60,7 @@
   }
 
   #createReply (to: string, content: { isAccepted: boolean, matchOffset: number, conflictOffset: number }): ReplicaEffect {
-    const { commitOffset } = this.#data
-    return this.#data.createSend(to, { type: 'appendReply', ...content, commitOffset, readSequence: this.#readSequence })
+    return this.#data.createSend(to, { type: 'appendReply', ...content, readSequence: this.#readSequence })
   }
 
   /** Offset from which the leader must send again, or undefined if the entries fit. */
--- a/src/log/_lib/Formation/index.ts
+++ b/src/log/_lib/Formation/index.ts
@@ -40,7 +40,12 @@
   }
 
   * handleProbe ({ from }: Message<'probe'>): Effects {
-    yield this.#data.createSend(from, { type: 'probeReply', isInitialised: this.#data.clusterId !== undefined })
+    const { log, syncs, commitOffset } = this.#data
+    const { members } = log
+    yield this.#data.createSend(from, { type: 'probeReply', isInitialised: members !== undefined })
+    // Only durable members are sent: a replica that lost them in a crash would form a second cluster.
+    const isGenesis = members !== undefined && members.voters.includes(from) && commitOffset === 0 && syncs.syncedOffset > 0
+    if (isGenesis) yield this.#data.createSend(from, { type: 'genesis', members })
   }
 
   * handleProbeReply ({ from, isInitialised }: Message<'probeReply'>): Effects {
@@ -62,7 +67,6 @@
     const voters = [this.#data.id, ...peers.map(peer => this.#emptyPeers.get(peer)!)]
     const members: LogMembers = { clusterId: createClusterId(), voters, learners: [] }
     yield * this.#appendGenesis(members)
-    for (const id of this.#data.listOthers('voters')) yield this.#data.createSend(id, { type: 'genesis', members })
   }
 
   /** The first entry of every log holds the first members. It is the same on each replica. */
--- a/src/log/_lib/LeaderState/index.ts
+++ b/src/log/_lib/LeaderState/index.ts
@@ -17,7 +17,6 @@
 interface Progress {
   nextOffset: number
   matchOffset: number
-  commitOffset: number
   readSequence: number
   lastReplyMs: number
   snapshotSentMs: number
@@ -55,13 +54,6 @@
     return this.#data.log.getTerm(this.#data.commitOffset) === this.#data.term
   }
 
-  /** Whether a majority knows that the newest membership change is committed. */
-  get isSettled (): boolean {
-    const { memberships, log, hasPendingMembers } = this.#data
-    if (hasPendingMembers) return false
-    return hasQuorum(memberships, id => this.#isSelf(id) || this.#getProgress(id).commitOffset >= log.membersOffset)
-  }
-
   getMatchOffset (id: string): number {
     return this.#isSelf(id) ? this.#data.syncs.syncedOffset : this.#getProgress(id).matchOffset
   }
@@ -95,7 +87,9 @@
     progress.lastReplyMs = nowMs
     progress.readSequence = Math.max(progress.readSequence, message.readSequence)
     if (message.isAccepted) this.#recordMatch(progress, message)
-    else progress.nextOffset = Math.max(progress.matchOffset + 1, Math.min(message.conflictOffset, this.#data.log.lastOffset + 1))
+    // A refusal below what was acknowledged is late, or the follower has lost entries: an answer to each would loop.
+    else if (message.conflictOffset <= progress.matchOffset) return
+    else progress.nextOffset = Math.min(message.conflictOffset, this.#data.log.lastOffset + 1)
     yield * this.#sendEntries(from, nowMs, false)
     yield * this.#updateCommit()
     yield * this.#releaseReads()
@@ -125,7 +119,7 @@
   /** Whether a majority has replied within the election timeout. */
   isSupported (nowMs: number): boolean {
     const sinceMs = nowMs - timing.maxElectionTimeoutMs
-    return hasQuorum(this.#data.memberships, id => this.#isSelf(id) || this.#getProgress(id).lastReplyMs >= sinceMs)
+    return hasQuorum(this.#data.voterSets, id => this.#isSelf(id) || this.#getProgress(id).lastReplyMs >= sinceMs)
   }
 
   #isSelf (id: string): boolean {
@@ -136,7 +130,7 @@
     let progress = this.#progress.get(id)
     if (!progress) {
       const nextOffset = this.#data.log.lastOffset + 1
-      progress = { nextOffset, matchOffset: 0, commitOffset: 0, readSequence: 0, lastReplyMs: this.#startedMs, snapshotSentMs: -Infinity }
+      progress = { nextOffset, matchOffset: 0, readSequence: 0, lastReplyMs: this.#startedMs, snapshotSentMs: -Infinity }
       this.#progress.set(id, progress)
     }
     return progress
@@ -145,7 +139,6 @@
   #recordMatch (progress: Progress, message: ReplicaMessage & { type: 'appendReply' }): void {
     progress.matchOffset = Math.max(progress.matchOffset, message.matchOffset)
     progress.nextOffset = Math.max(progress.nextOffset, progress.matchOffset + 1)
-    progress.commitOffset = Math.max(progress.commitOffset, message.commitOffset)
   }
 
   * #sendEntries (id: string, nowMs: number, isHeartbeat: boolean): Effects {
@@ -175,14 +168,15 @@
   }
 
   * #updateCommit (): Effects {
-    const { log, term, memberships } = this.#data
-    const offset = computeQuorumOffset(memberships, id => this.getMatchOffset(id))
+    const { log, term, voterSets } = this.#data
+    const offset = computeQuorumOffset(voterSets, id => this.getMatchOffset(id))
     // An entry of an earlier term is committed only together with one of this term, because a later leader could
     // otherwise replace it.
     if (offset <= this.#data.commitOffset || log.getTerm(offset) !== term) return
     this.#data.commitOffset = offset
     yield { type: 'apply', offset }
     yield * this.#releaseReads()
+    yield * this.#completeMembers()
     for (const id of this.#data.listOthers('all')) {
       const { nextOffset } = this.#getProgress(id)
       if (nextOffset > log.baseOffset) yield this.#createAppend(id, nextOffset - 1, [], offset)
@@ -194,7 +188,7 @@
     const waiting: PendingRead[] = []
     for (const read of this.#reads) {
       read.offset ??= this.#data.commitOffset
-      const isConfirmed = hasQuorum(this.#data.memberships, id => this.#isSelf(id) || this.#getProgress(id).readSequence >= read.sequence)
+      const isConfirmed = hasQuorum(this.#data.voterSets, id => this.#isSelf(id) || this.#getProgress(id).readSequence >= read.sequence)
       if (isConfirmed) yield { type: 'readReady', id: read.id, offset: read.offset }
       else waiting.push(read)
     }
@@ -202,7 +196,15 @@
   }
 
   #isMembersChangeAllowed (): boolean {
-    return !this.#data.hasPendingMembers && this.hasCommittedInTerm
+    return this.#data.isSettled && this.hasCommittedInTerm
+  }
+
+  /** Ends the replacement of voters once both majorities have committed it. */
+  * #completeMembers (): Effects {
+    const { log, hasPendingMembers, isSettled } = this.#data
+    if (hasPendingMembers || isSettled) return
+    const { previousVoters, ...members } = log.members!
+    yield * this.append([{ members }])
   }
 
   /** Replaces the voter of an instance by its new disk, once that holds every committed entry on the disk. */
--- a/src/log/_lib/ReplicaData/index.ts
+++ b/src/log/_lib/ReplicaData/index.ts
@@ -1,4 +1,3 @@
-import type { LogMembers } from '../../../contract/LogMembers'
 import type { ReplicaMessage } from '../../../contract/ReplicaMessage'
 import type { ReplicaVote } from '../../../contract/ReplicaVote'
 import type { ReplicaCoreOptions } from '../../ReplicaCoreOptions'
@@ -42,23 +41,29 @@
   }
 
   /**
-   * The memberships whose majorities decide. While a change is not committed, the majorities of both the old and the
-   * new voters are needed: then no decision relies on a replaced replica being really gone.
+   * The sets of voters whose majorities decide, by the newest members in the log, committed or not. While voters are
+   * replaced, both the old and the new majority are needed: then no decision relies on a replaced replica being really
+   * gone.
    */
-  get memberships (): LogMembers[] {
-    const { members, previousMembers } = this.log
+  get voterSets (): string[][] {
+    const { members } = this.log
     if (!members) return []
-    return this.hasPendingMembers && previousMembers ? [previousMembers, members] : [members]
+    return members.previousVoters ? [members.previousVoters, members.voters] : [members.voters]
+  }
+
+  /** Whether the newest change of members is complete: committed, and no old voters count any more. */
+  get isSettled (): boolean {
+    return !this.hasPendingMembers && this.log.members?.previousVoters === undefined
   }
 
   /** Ids of all other voters and learners that count at present. */
   listOthers (kind: 'voters' | 'all'): string[] {
-    const ids = this.memberships.flatMap(({ voters, learners }) => kind === 'all' ? [...voters, ...learners] : voters)
-    return [...new Set(ids)].filter(id => id !== this.id)
+    const learners = kind === 'all' ? this.log.members?.learners ?? [] : []
+    return [...new Set([...this.voterSets.flat(), ...learners])].filter(id => id !== this.id)
   }
 
   isVoter (): boolean {
-    return this.memberships.some(({ voters }) => voters.includes(this.id))
+    return this.voterSets.some(voters => voters.includes(this.id))
   }
 
   createSend (to: string, content: MessageContent): ReplicaEffect {
--- a/src/log/_lib/computeMembersWithPromotion/index.ts
+++ b/src/log/_lib/computeMembersWithPromotion/index.ts
@@ -1,10 +1,10 @@
 import type { LogMembers } from '../../../contract/LogMembers'
 import { resolveInstance } from '../resolveInstance'
 
-/** Puts a learner in the place of the voter of the same instance. Undefined if there is no such voter. */
+/** Starts the replacement of the voter of an instance by a learner of the same instance. Undefined if there is no such voter. */
 export function computeMembersWithPromotion (members: LogMembers, id: string): LogMembers | undefined {
   const isReplaced = (voter: string): boolean => resolveInstance(voter) === resolveInstance(id)
   if (!members.learners.includes(id) || !members.voters.some(isReplaced)) return undefined
   const voters = members.voters.map(voter => isReplaced(voter) ? id : voter)
-  return { ...members, voters, learners: members.learners.filter(learner => learner !== id) }
+  return { ...members, voters, previousVoters: members.voters, learners: members.learners.filter(learner => learner !== id) }
 }
--- a/src/log/_lib/createLogStatus/index.ts
+++ b/src/log/_lib/createLogStatus/index.ts
@@ -30,7 +30,7 @@
     commitOffset,
     lastOffset: log.lastOffset,
     isMember: [...voters, ...learners].includes(id),
-    isSettled: leading?.isSettled ?? !data.hasPendingMembers,
+    isSettled: data.isSettled,
     members: [
       ...voters.map(member => createMemberStatus(member, 'voter', computeLag(member))),
       ...learners.map(member => createMemberStatus(member, 'learner', computeLag(member)))
