--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -59,7 +59,7 @@
   const calls = new CallHandler({ view, gate, targets, maxBodyBytes: settings.maxBodyBytes })
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503).end() } },
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
     { method: 'post', path: '/v1/completions', handler: (request, response) => calls.handleCompletion(request, response) },
     { method: 'post', path: '/v1/chat/completions', handler: (request, response) => calls.handleCompletion(request, response) },
     { method: 'all', path: '/services/*', handler: (request, response) => calls.handleService(request, response) }
--- a/test/_lib/startProcess/index.ts
+++ b/test/_lib/startProcess/index.ts
@@ -16,20 +16,27 @@
   stop: () => Promise<void>
 }
 
-const BUNDLE = join(__dirname, '../../../dist/papayalead.cjs')
+const BUNDLE = join(process.cwd(), 'dist/papayalead.cjs')
+const STOP_TIMEOUT_MS = 20_000
+/** Ends the process when its parent is gone, also when the parent was killed: the parent holds the other end of the pipe. */
+const EXIT_WITH_PARENT = 'data:text/javascript,process.stdin.on("end",()=>process.exit(137)).resume().unref()'
 
 /** Starts a process of the bundle and waits for its first line of output. Its settings file is written to a temporary directory. */
 export async function startProcess (args: string[], settings?: object): Promise<StartedProcess> {
   const configFlags = settings ? ['--config', writeSettings(settings)] : []
-  const child = spawn(process.execPath, [BUNDLE, ...args, ...configFlags], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const child = spawn(process.execPath, ['--import', EXIT_WITH_PARENT, BUNDLE, ...args, ...configFlags], { stdio: ['pipe', 'pipe', 'inherit'] })
+  child.stdin.on('error', () => {})
   const exitCode = once(child, 'exit').then(([code]) => code as number | null)
   const [line] = await Promise.race([
     once(createInterface(child.stdout), 'line'),
     exitCode.then(code => { throw new Error(`${args[0]} ended with ${code} before it was ready`) })
   ])
   const stop = async (): Promise<void> => {
+    child.kill('SIGCONT')
     child.kill('SIGTERM')
+    const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS)
     await exitCode
+    clearTimeout(timer)
   }
   return { pid: child.pid!, ready: JSON.parse(line), exitCode, signal: name => { child.kill(name) }, stop }
 }
