Record each request in the log, the metrics and the trace

Cause: a router gave no sign of its requests but a start line. Change: routers serve /metrics through prom-client, write spans of queue, dispatch and stream as JSON lines to traceFile, accept traceparent and x-request-id and pass both to targets. Log lines of a request carry its id. Keys, tokens and their hashes are removed from log lines at any depth; before, only fields of the top level were. Result: lint, types, src/telemetry and test/thinPath pass.

--- a/src/instance/CallHandler/index.ts
+++ b/src/instance/CallHandler/index.ts
@@ -6,6 +6,7 @@
 import { AppError } from '../../contract/AppError'
 import type { AdmissionGate } from '../../schedule/AdmissionGate'
 import type { TargetClient } from '../../target/TargetClient'
+import type { RequestObservation } from '../../telemetry/RequestObservation'
 import { parseJsonBody } from '../parseJsonBody'
 import { readBody } from '../readBody'
 
@@ -27,7 +28,7 @@
  * @param options - Settings, admission, client of the targets, limit of the body in bytes.
  *
  * @example
- * await handler.handleCompletion(request, response)
+ * await handler.handleCompletion(request, response, observation)
  */
 export class CallHandler {
   readonly #options: CallHandlerOptions
@@ -36,35 +37,41 @@
     this.#options = options
   }
 
-  async handleCompletion (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async handleCompletion (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
     const account = checkCredentials(request.headers.authorization, this.#options.view)
     const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
     const head = CompletionHead.safeParse(parseJsonBody(body))
     if (!head.success) throw new AppError('bad-request', 'The body needs a model.')
-    await this.#runCall(request, response, { account, service: head.data.model, path: request.url ?? '/', body })
+    await this.#runCall(request, response, observation, { account, service: head.data.model, path: request.url ?? '/', body })
   }
 
-  async handleService (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async handleService (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
     const account = checkCredentials(request.headers.authorization, this.#options.view)
     const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
     const match = /^\/services\/([^/?]+)(\/?.*)$/.exec(request.url ?? '')
     if (!match) throw new AppError('not-found', 'No such path.')
-    await this.#runCall(request, response, { account, service: match[1], path: match[2] || '/', body })
+    await this.#runCall(request, response, observation, { account, service: match[1], path: match[2] || '/', body })
   }
 
-  async #runCall (request: IncomingMessage, response: ServerResponse, call: { account: { name: string, services: string[] }, service: string, path: string, body: Buffer }): Promise<void> {
+  async #runCall (request: IncomingMessage, response: ServerResponse, observation: RequestObservation, call: { account: { name: string, services: string[] }, service: string, path: string, body: Buffer }): Promise<void> {
     const { view, gate, targets } = this.#options
     const service = view.getService(call.service)
     if (!service) throw new AppError('unknown-service', `There is no service ${call.service}.`)
     if (!call.account.services.includes('*') && !call.account.services.includes(call.service)) throw new AppError('forbidden', `The account may not call ${call.service}.`)
+    observation.setCall({ account: call.account.name, service: call.service })
     const abort = new AbortController()
     response.on('close', () => abort.abort())
-    const slot = await gate.admit({ account: call.account.name, service: call.service, estimate: service.estimate, deadlineAtMs: performance.now() + service.deadlineMs, signal: abort.signal })
+    const queue = observation.startHop('queue')
+    const slot = await gate.admit({ account: call.account.name, service: call.service, estimate: service.estimate, deadlineAtMs: performance.now() + service.deadlineMs, signal: abort.signal }).finally(() => queue.stop())
+    const dispatch = observation.startHop('dispatch', { target: slot.target })
     try {
-      const answer = await targets.dispatch({ url: slot.url, method: request.method ?? 'GET', path: call.path, headers: selectHeaders(request.headers), body: call.body.length > 0 ? call.body : undefined, signal: abort.signal })
+      const answer = await targets.dispatch({ url: slot.url, method: request.method ?? 'GET', path: call.path, headers: { ...selectHeaders(request.headers), ...observation.traceHeaders }, body: call.body.length > 0 ? call.body : undefined, signal: abort.signal })
+      dispatch.stop()
       response.writeHead(answer.status, { ...selectHeaders(answer.headers), 'papayalead-outcome': 'complete' })
-      await pipeline(answer.body, response)
+      const stream = observation.startHop('stream', { target: slot.target })
+      await pipeline(answer.body, response).finally(() => stream.stop())
     } finally {
+      dispatch.stop()
       slot.release({ cost: service.estimate, isHealthy: true })
     }
   }
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -8,11 +8,19 @@
 import { LinkClient } from '../../link/LinkClient'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
+import { LinkTraffic } from '../../link/LinkTraffic'
 import { LocalAdmissionGate } from '../../schedule/LocalAdmissionGate'
 import { TargetClient } from '../../target/TargetClient'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
+import { createTracer } from '../../telemetry/createTracer'
+import { PrometheusMetrics } from '../../telemetry/PrometheusMetrics'
+import { RequestCounts } from '../../telemetry/RequestCounts'
+import { TelemetryRequestObserver } from '../../telemetry/TelemetryRequestObserver'
 import { CallHandler } from '../CallHandler'
+import { observeCalls } from '../observeCalls'
+import { registerRouterReadings } from '../registerRouterReadings'
+import { sendMetrics } from '../sendMetrics'
 import { startHttpServer } from '../startHttpServer'
 
 interface RunningRouter {
@@ -37,12 +45,18 @@
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
   const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'router')
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
+  const tracer = createTracer({ ...settings, onError: error => logger.error('The trace file can not be written.', { reason: error.message }) })
+  lifecycle.register('trace', () => tracer.close())
+  const metrics = new PrometheusMetrics({ instance: settings.instance, zone: settings.zone })
+  const observer = new TelemetryRequestObserver({ logger, metrics, tracer, counts: new RequestCounts() })
   const tree = new SettingsTree()
   const view = new SettingsView()
+  const traffic = new LinkTraffic()
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
     handlers: new Map(),
+    onLink: link => traffic.add(link),
     onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message })
   }
   const links = new LinkServer(linkOptions)
@@ -57,12 +71,16 @@
   lifecycle.register('target connections', () => targets.close())
   const gate = new LocalAdmissionGate(view)
   const calls = new CallHandler({ view, gate, targets, maxBodyBytes: settings.maxBodyBytes })
+  registerRouterReadings(metrics, { view, gate, traffic })
+  const handleCompletion = observeCalls(observer, (request, response, observation) => calls.handleCompletion(request, response, observation))
+  const handleService = observeCalls(observer, (request, response, observation) => calls.handleService(request, response, observation))
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
     { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503).end() } },
-    { method: 'post', path: '/v1/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'post', path: '/v1/chat/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'all', path: '/services/*', handler: (request, response) => calls.handleService(request, response) }
+    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
+    { method: 'post', path: '/v1/completions', handler: handleCompletion },
+    { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
+    { method: 'all', path: '/services/*', handler: handleService }
   ])
   lifecycle.register('callers', () => new Promise<void>(resolve => {
     server.close(() => resolve())
--- /dev/null
+++ b/src/telemetry/PrometheusMetrics/index.ts
@@ -0,0 +1,80 @@
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import type { Metrics } from '../Metrics'
+
+const PREFIX = 'papayalead_'
+const WAIT_BUCKETS_S = [0.001, 0.005, 0.02, 0.1, 0.5, 1, 5, 20, 60, 120]
+const RESPONSE_BUCKETS_S = [0.005, 0.02, 0.1, 0.5, 1, 2, 5, 10, 30, 60, 120, 600]
+
+type RequestResult = Parameters<Metrics['observeRequest']>[0]
+type ReadingSource = Parameters<Metrics['registerReading']>[0]
+
+/**
+ * @name PrometheusMetrics
+ * @category Telemetry
+ * @summary Metrics of a process in a registry of prom-client.
+ *
+ * @param options - Labels of every series, for example the instance.
+ *
+ * @example
+ * const metrics = new PrometheusMetrics({ instance: 'r1', zone: 'perth-a' })
+ * metrics.observeWait('llama', 0.2)
+ */
+export class PrometheusMetrics implements Metrics {
+  readonly #registry = new Registry()
+  readonly #requests: Counter
+  readonly #waits: Histogram
+  readonly #responses: Histogram
+
+  constructor (labels: Record<string, string>) {
+    this.#registry.setDefaultLabels(labels)
+    collectDefaultMetrics({ register: this.#registry, prefix: PREFIX })
+    const registers = [this.#registry]
+    this.#requests = new Counter({ name: `${PREFIX}requests_total`, help: 'Requests that ended.', labelNames: ['service', 'outcome', 'kind'], registers })
+    this.#waits = new Histogram({ name: `${PREFIX}wait_seconds`, help: 'Time in the queue.', labelNames: ['service'], buckets: WAIT_BUCKETS_S, registers })
+    this.#responses = new Histogram({ name: `${PREFIX}response_seconds`, help: 'Time from arrival to the end of the response.', labelNames: ['service'], buckets: RESPONSE_BUCKETS_S, registers })
+  }
+
+  observeRequest ({ service, outcome, kind }: RequestResult): void {
+    this.#requests.inc({ service, outcome, kind: kind ?? 'none' })
+  }
+
+  observeWait (service: string, seconds: number): void {
+    this.#waits.observe({ service }, seconds)
+  }
+
+  observeResponse (service: string, seconds: number): void {
+    this.#responses.observe({ service }, seconds)
+  }
+
+  registerReading (source: ReadingSource): void {
+    const options = { name: PREFIX + source.name, help: source.help, labelNames: [...source.labels ?? []], registers: [this.#registry] }
+    if (source.name.endsWith('_total')) this.#registerCounter(options, source)
+    else this.#registerGauge(options, source)
+  }
+
+  render (): Promise<string> {
+    return this.#registry.metrics()
+  }
+
+  #registerCounter (options: ConstructorParameters<typeof Counter>[0], source: ReadingSource): void {
+    const counter = new Counter({
+      ...options,
+      collect () {
+        this.reset()
+        for (const { labels = {}, value } of source.read()) this.inc(labels, value)
+      }
+    })
+    counter.reset()
+  }
+
+  #registerGauge (options: ConstructorParameters<typeof Gauge>[0], source: ReadingSource): void {
+    const gauge = new Gauge({
+      ...options,
+      collect () {
+        this.reset()
+        for (const { labels = {}, value } of source.read()) this.set(labels, value)
+      }
+    })
+    gauge.reset()
+  }
+}
--- /dev/null
+++ b/src/telemetry/TelemetryRequestObserver/index.ts
@@ -0,0 +1,50 @@
+import { randomUUID } from 'node:crypto'
+import type { Metrics } from '../Metrics'
+import type { PartLogger } from '../PartLogger'
+import type { RequestCounts } from '../RequestCounts'
+import type { RequestObservation } from '../RequestObservation'
+import type { RequestObserver } from '../RequestObserver'
+import type { Tracer } from '../Tracer'
+import { RequestRecorder } from '../_lib/RequestRecorder'
+import { parseTraceparent } from '../parseTraceparent'
+
+/** A caller's id is accepted only in this form, so that it can't forge log lines. */
+const REQUEST_ID = /^[\w.:-]{1,64}$/
+
+interface TelemetryRequestObserverOptions {
+  logger: PartLogger
+  metrics: Metrics
+  tracer: Tracer
+  counts: RequestCounts
+}
+
+/**
+ * @name TelemetryRequestObserver
+ * @category Telemetry
+ * @summary Records each request in the log, the metrics and the trace.
+ *
+ * @description
+ * The request id is the caller's `x-request-id` if it has an accepted form, otherwise a random one.
+ *
+ * @param options - Logger, metrics, tracer and the counts of each client account.
+ *
+ * @example
+ * const observer = new TelemetryRequestObserver({ logger, metrics, tracer, counts: new RequestCounts() })
+ */
+export class TelemetryRequestObserver implements RequestObserver {
+  readonly #options: TelemetryRequestObserverOptions
+
+  constructor (options: TelemetryRequestObserverOptions) {
+    this.#options = options
+  }
+
+  startRequest (head: Parameters<RequestObserver['startRequest']>[0]): RequestObservation {
+    const requestId = head.requestId !== undefined && REQUEST_ID.test(head.requestId) ? head.requestId : randomUUID()
+    const path = head.path.split('?')[0]
+    const span = this.#options.tracer.startSpan('request', {
+      parent: parseTraceparent(head.traceparent),
+      attributes: { 'http.request.method': head.method, 'url.path': path, 'papayalead.request_id': requestId }
+    })
+    return new RequestRecorder({ ...this.#options, requestId, span, path })
+  }
+}
--- a/src/telemetry/createLogger/index.ts
+++ b/src/telemetry/createLogger/index.ts
@@ -1,18 +1,14 @@
 import winston from 'winston'
+import { removeSecrets } from '../removeSecrets'
 
 interface CreateLoggerOptions {
   instance: string
   level: 'error' | 'warn' | 'info' | 'debug'
 }
 
-/** Field names whose values never reach a log. */
-const SECRET_FIELDS = /key$|token$|secret|authorization|password/i
-
-function removeSecrets (info: winston.Logform.TransformableInfo): winston.Logform.TransformableInfo {
-  for (const field of Object.keys(info)) {
-    if (SECRET_FIELDS.test(field)) info[field] = '[hidden]'
-  }
-  return info
+/** Replaces the fields in place, because winston keeps its own state under symbols of the object. */
+function filterFields (info: winston.Logform.TransformableInfo): winston.Logform.TransformableInfo {
+  return Object.assign(info, removeSecrets({ ...info }))
 }
 
 /**
@@ -34,7 +30,7 @@
   return winston.createLogger({
     level: options.level,
     defaultMeta: { instance: options.instance },
-    format: winston.format.combine(winston.format(removeSecrets)(), winston.format.timestamp(), winston.format.json()),
+    format: winston.format.combine(winston.format(filterFields)(), winston.format.timestamp(), winston.format.json()),
     transports: [new winston.transports.Stream({ stream: process.stderr })]
   })
 }
