--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -5,6 +5,7 @@
 import type { LinkOptions } from '../../link/LinkOptions'
 import { LocalAdmissionGate } from '../../schedule/LocalAdmissionGate'
 import { TargetClient } from '../../target/TargetClient'
+import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
 import { createTelemetry } from '../_lib/createTelemetry'
 import { CallHandler } from '../CallHandler'
@@ -35,7 +36,8 @@
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
   const telemetry = createTelemetry(settings, 'router')
   const { logger, lifecycle, metrics, observer } = telemetry
-  const { view, ...configuration } = createSettings(settings, lifecycle)
+  const directory = createPeerDirectory(settings, logger, lifecycle)
+  const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
