--- /dev/null
+++ b/src/instance/_lib/createTelemetry/index.ts
@@ -0,0 +1,45 @@
+import { LifecycleManager } from '../../../lifecycle/LifecycleManager'
+import { LinkTraffic } from '../../../link/LinkTraffic'
+import { createLogger } from '../../../telemetry/createLogger'
+import { createPartLogger } from '../../../telemetry/createPartLogger'
+import { createTracer } from '../../../telemetry/createTracer'
+import type { Metrics } from '../../../telemetry/Metrics'
+import type { PartLogger } from '../../../telemetry/PartLogger'
+import { PrometheusMetrics } from '../../../telemetry/PrometheusMetrics'
+import { RequestCounts } from '../../../telemetry/RequestCounts'
+import type { RequestObserver } from '../../../telemetry/RequestObserver'
+import { TelemetryRequestObserver } from '../../../telemetry/TelemetryRequestObserver'
+import { registerTrafficReading } from '../../registerTrafficReading'
+
+interface TelemetrySettings {
+  instance: string
+  zone: string
+  logLevel: 'error' | 'warn' | 'info' | 'debug'
+  traceFile?: string
+}
+
+interface Telemetry {
+  logger: PartLogger
+  /** Logger with the prefix of another part of the process. */
+  createLogger: (part: string) => PartLogger
+  lifecycle: LifecycleManager
+  metrics: Metrics
+  counts: RequestCounts
+  observer: RequestObserver
+  traffic: LinkTraffic
+}
+
+/** Logs, metrics and spans of a process, and its lifecycle manager, which reports to the log and closes the trace last. */
+export function createTelemetry (settings: TelemetrySettings, part: string): Telemetry {
+  const processLogger = createLogger({ instance: settings.instance, level: settings.logLevel })
+  const logger = createPartLogger(processLogger, part)
+  const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
+  const tracer = createTracer({ ...settings, onError: error => logger.error('The trace file can not be written.', { reason: error.message }) })
+  lifecycle.register('trace', () => tracer.close())
+  const metrics = new PrometheusMetrics({ instance: settings.instance, zone: settings.zone })
+  const counts = new RequestCounts()
+  const traffic = new LinkTraffic()
+  registerTrafficReading(metrics, traffic)
+  const observer = new TelemetryRequestObserver({ logger, metrics, tracer, counts })
+  return { logger, createLogger: name => createPartLogger(processLogger, name), lifecycle, metrics, counts, observer, traffic }
+}
