Grant slots fairly within a zone

The router served requests first come, first served over its own view of the slots, so that several routers over-admitted targets and one account could take all of them.

A zone scheduler, elected among the routers of a zone, now owns the slots and grants them in order of the lowest normalised service. Requests wait in bounded queues of the router, whose p-queue takes the request that a grant is for. Messages are batched and positional.

--- /dev/null
+++ b/src/contract/ZoneHelloMessage/index.ts
@@ -0,0 +1,17 @@
+import { z } from 'zod'
+import { Name } from '../Name'
+
+/**
+ * @name ZoneHelloMessage
+ * @category Contract
+ * @summary Body of `zoneHello`: a router presents itself and the scheduler that it follows.
+ *
+ * @description
+ * `[startedAt, term, scheduler]`. `startedAt`: wall clock of the process start in milliseconds; it only orders routers.
+ * `scheduler` is null while none is known.
+ *
+ * @example
+ * ZoneHelloMessage.parse([1770000000000, 3, 'r1'])
+ */
+export const ZoneHelloMessage = z.tuple([z.number(), z.number().int().nonnegative(), Name.nullable()])
+export type ZoneHelloMessage = z.infer<typeof ZoneHelloMessage>
--- /dev/null
+++ b/src/instance/_lib/RouterAgent/index.ts
@@ -0,0 +1,123 @@
+import type { FleetAdmissionGate } from '../../../schedule/FleetAdmissionGate'
+import type { GrantOperation } from '../../../schedule/GrantOperation'
+import type { RouterBatch } from '../../../schedule/RouterBatch'
+import type { RouterOperation } from '../../../schedule/RouterOperation'
+import type { RouterReport } from '../../../schedule/RouterReport'
+
+/** After the first change, further ones are collected for this time. */
+const COALESCE_MS = 20
+const HEARTBEAT_MS = 250
+
+interface RouterAgentOptions {
+  gate: FleetAdmissionGate
+  /** Returns false if the message could not be sent. */
+  sendBatch: (scheduler: string, batch: RouterBatch) => boolean
+  sendReport: (scheduler: string, report: RouterReport) => boolean
+}
+
+/** Connects the gate of a router to the scheduler of its zone. */
+export class RouterAgent {
+  readonly #options: RouterAgentOptions
+  readonly #ledger = new Map<string, RouterReport['ledger'][number]>()
+  readonly #settled = new Map<string, RouterReport['settled'][number]>()
+  /** Account and service of each grant in use, to keep the cost of requests that end while no scheduler is known. */
+  readonly #grants = new Map<number, { account: string, service: string }>()
+  #scheduler?: string
+  #session = 0
+  #isRegistered = false
+  #lastSentAtMs = -Infinity
+  #timer?: NodeJS.Timeout
+
+  constructor (options: RouterAgentOptions) {
+    this.#options = options
+  }
+
+  setScheduler (scheduler: string): void {
+    this.#scheduler = scheduler
+    this.register()
+  }
+
+  /** Grants of the scheduler are void until it is followed again. */
+  clear (): void {
+    this.#scheduler = undefined
+    this.#isRegistered = false
+  }
+
+  /** Starts a new session with a full report. */
+  register (): void {
+    if (this.#scheduler === undefined) return
+    this.#settle(this.#options.gate.takeOperations())
+    const session = ++this.#session
+    const report = { ...this.#options.gate.createReport(), session, settled: [...this.#settled.values()], ledger: [...this.#ledger.values()] }
+    this.#isRegistered = this.#options.sendReport(this.#scheduler, report)
+    if (this.#isRegistered) this.#settled.clear()
+    this.#lastSentAtMs = performance.now()
+  }
+
+  handleGrants (scheduler: string, session: number, grants: readonly GrantOperation[]): void {
+    if (scheduler !== this.#scheduler) return
+    if (session === 0) return this.register()
+    if (session !== this.#session) return
+    for (const grant of grants) {
+      this.#grants.set(grant.id, grant)
+      this.#options.gate.acceptGrant(grant)
+    }
+  }
+
+  mergeLedger (entries: RouterReport['ledger']): void {
+    for (const entry of entries) {
+      const key = `${entry.service}/${entry.account}/${entry.zone}`
+      const known = this.#ledger.get(key)
+      const total = Math.max(entry.total, known?.total ?? 0)
+      this.#ledger.set(key, { ...entry, total, lift: Math.max(entry.lift, known?.lift ?? 0) })
+    }
+  }
+
+  /** The first change is sent in this turn of the event loop, later ones within 20 ms. */
+  notifyChange (): void {
+    if (this.#timer) return
+    const waitMs = Math.max(0, this.#lastSentAtMs + COALESCE_MS - performance.now())
+    this.#timer = setTimeout(() => this.#flush(), waitMs)
+  }
+
+  tick (nowMs: number): void {
+    if (this.#scheduler !== undefined && !this.#isRegistered) this.register()
+    else if (nowMs - this.#lastSentAtMs >= HEARTBEAT_MS) this.#flush()
+  }
+
+  stop (): void {
+    clearTimeout(this.#timer)
+  }
+
+  #flush (): void {
+    clearTimeout(this.#timer)
+    this.#timer = undefined
+    if (this.#scheduler === undefined || !this.#isRegistered) return
+    const { gate, sendBatch } = this.#options
+    const operations = gate.takeOperations()
+    const isSent = sendBatch(this.#scheduler, { session: this.#session, lastGrantId: gate.lastGrantId, operations })
+    this.#lastSentAtMs = performance.now()
+    if (isSent) return this.#removeEnded(operations)
+    this.#isRegistered = false
+    this.#settle(operations)
+  }
+
+  /** Keeps the cost of requests whose release can't be sent, for the next report. */
+  #settle (operations: RouterOperation[]): void {
+    for (const operation of operations) {
+      if (operation.type !== 'release') continue
+      const grant = this.#grants.get(operation.id)
+      if (!grant) continue
+      const { account, service } = grant
+      const key = `${account}/${service}`
+      this.#settled.set(key, { account, service, cost: operation.cost + (this.#settled.get(key)?.cost ?? 0) })
+    }
+    this.#removeEnded(operations)
+  }
+
+  #removeEnded (operations: RouterOperation[]): void {
+    for (const operation of operations) {
+      if (operation.type === 'release' || operation.type === 'decline') this.#grants.delete(operation.id)
+    }
+  }
+}
--- /dev/null
+++ b/src/instance/_lib/startScheduling/index.ts
@@ -0,0 +1,57 @@
+import type { SettingsView } from '../../../configuration/SettingsView'
+import type { RouterSettings } from '../../../contract/RouterSettings'
+import type { LifecycleManager } from '../../../lifecycle/LifecycleManager'
+import type { LinkOptions } from '../../../link/LinkOptions'
+import type { Link } from '../../../link/Link'
+import { FleetAdmissionGate } from '../../../schedule/FleetAdmissionGate'
+import type { MetricsSink } from '../../../schedule/MetricsSink'
+import type { PartLogger } from '../../../telemetry/PartLogger'
+import type { RouterDirectory } from '../RouterDirectory'
+import { ScheduleNode } from '../ScheduleNode'
+
+interface StartSchedulingOptions {
+  settings: RouterSettings
+  view: SettingsView
+  linkOptions: LinkOptions
+  /** Handlers of the link server; those of the scheduler are added. */
+  handlers: Map<string, (body: unknown, link: Link) => unknown>
+  lifecycle: LifecycleManager
+  logger: PartLogger
+  /** False while a target must get no new work. */
+  isTargetOpen?: (target: string) => boolean
+  directory?: RouterDirectory
+  metrics?: MetricsSink
+}
+
+/** Starts the router's part in fair scheduling and returns the gate for its requests. */
+export function startScheduling (options: StartSchedulingOptions): FleetAdmissionGate {
+  const { settings, view, linkOptions, handlers, lifecycle, logger } = options
+  const isTargetOpen = options.isTargetOpen ?? (target => !view.isDrainedByOperator(target))
+  const gate: FleetAdmissionGate = new FleetAdmissionGate({ view, isTargetOpen, onChange: () => node.notifyChange() })
+  const node: ScheduleNode = new ScheduleNode({
+    instance: settings.instance,
+    zone: settings.zone,
+    gate,
+    directory: options.directory ?? { listRouters: () => settings.routers },
+    linkOptions,
+    metrics: options.metrics ?? { addCount: () => {}, setGauge: () => {} },
+    logger,
+    getWeight: account => view.getAccount(account)?.weight ?? 1,
+    isTargetOpen,
+    listTargets: () => view.listAllTargets().filter(target => target.zone === settings.zone)
+  })
+  handlers.set('zoneHello', (body, link) => node.handleHello(body, link))
+  handlers.set('zoneHeartbeat', (body, link) => node.handleHeartbeat(body, link))
+  handlers.set('zoneReport', (body, link) => node.handleReport(body, link))
+  handlers.set('queue', (body, link) => node.handleBatch(body, link))
+  handlers.set('grant', (body, link) => node.handleGrants(body, link))
+  handlers.set('exchange', (body, link) => node.handleExchange(body, link))
+  const unsubscribe = view.subscribe(() => node.updateTargets())
+  node.start()
+  lifecycle.register('scheduling', () => {
+    unsubscribe()
+    node.stop()
+  })
+  lifecycle.register('queued requests', () => gate.stop())
+  return gate
+}
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -5,15 +5,16 @@
 import type { ListenAddress } from '../../contract/ListenAddress'
 import type { RouterSettings } from '../../contract/RouterSettings'
 import { LifecycleManager } from '../../lifecycle/LifecycleManager'
+import type { Link } from '../../link/Link'
 import { LinkClient } from '../../link/LinkClient'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
-import { LocalAdmissionGate } from '../../schedule/LocalAdmissionGate'
 import { TargetClient } from '../../target/TargetClient'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
 import { CallHandler } from '../CallHandler'
 import { startHttpServer } from '../startHttpServer'
+import { startScheduling } from '../_lib/startScheduling'
 
 interface RunningRouter {
   http: ListenAddress
@@ -35,14 +36,16 @@
  * await router.close()
  */
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
-  const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'router')
+  const processLogger = createLogger({ instance: settings.instance, level: settings.logLevel })
+  const logger = createPartLogger(processLogger, 'router')
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
   const tree = new SettingsTree()
   const view = new SettingsView()
+  const handlers = new Map<string, (body: unknown, link: Link) => unknown>()
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
-    handlers: new Map(),
+    handlers,
     onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message })
   }
   const links = new LinkServer(linkOptions)
@@ -55,7 +58,7 @@
   lifecycle.register('settings follower', () => follower.stop())
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const gate = new LocalAdmissionGate(view)
+  const gate = startScheduling({ settings, view, linkOptions, handlers, lifecycle, logger: createPartLogger(processLogger, 'schedule') })
   const calls = new CallHandler({ view, gate, targets, maxBodyBytes: settings.maxBodyBytes })
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
--- /dev/null
+++ b/src/schedule/GrantOperation/index.ts
@@ -0,0 +1,22 @@
+/**
+ * @name GrantOperation
+ * @category Schedule
+ * @summary A slot of a target that the scheduler gives to a request of an account in a router.
+ *
+ * @description
+ * `id` is unique for the router. `expiresInMs`: the router returns the grant if it can't use it by then. `afterId`: the
+ * grant becomes usable when the router releases the grant with this id (grant prefetching). `lentBy`: the zone that lent the
+ * slot, and its number for it.
+ *
+ * @example
+ * const grant: GrantOperation = { id: 17, account: 'quotes', service: 'llama', target: 'e1', expiresInMs: 1000 }
+ */
+export interface GrantOperation {
+  id: number
+  account: string
+  service: string
+  target: string
+  expiresInMs: number
+  afterId?: number
+  lentBy?: { zone: string, id: number }
+}
--- /dev/null
+++ b/src/schedule/NameDecoder/index.ts
@@ -0,0 +1,28 @@
+import { AppError } from '../../contract/AppError'
+
+/**
+ * @name NameDecoder
+ * @category Schedule
+ * @summary Names for the numbers that a peer defined on one connection.
+ *
+ * @example
+ * const names = new NameDecoder()
+ * names.set(1, 'quotes')
+ * names.get(1) // 'quotes'
+ */
+export class NameDecoder {
+  readonly #names = new Map<number, string>()
+
+  set (number: number, name: string): void {
+    this.#names.set(number, name)
+  }
+
+  /**
+   * @throws AppError `frame-invalid` if the number was not defined.
+   */
+  get (number: number): string {
+    const name = this.#names.get(number)
+    if (name === undefined) throw new AppError('frame-invalid', `The number ${number} was not defined on this connection.`)
+    return name
+  }
+}
--- /dev/null
+++ b/src/schedule/ZoneScheduler/index.ts
@@ -0,0 +1,205 @@
+import { GrantBook } from '../_lib/GrantBook'
+import { LendBook } from '../_lib/LendBook'
+import type { RouterState } from '../_lib/RouterState'
+import type { PeerMessage } from '../PeerMessage'
+import type { RouterBatch } from '../RouterBatch'
+import type { RouterOperation } from '../RouterOperation'
+import type { RouterReport } from '../RouterReport'
+import type { SchedulerEffect } from '../SchedulerEffect'
+import { ServicePool } from '../ServicePool'
+import { PoolSet } from '../_lib/PoolSet'
+
+/** A new scheduler waits this long for the reports of its routers. */
+const COLLECT_MS = 300
+const ROUTER_TIMEOUT_MS = 1_000
+const EXCHANGE_INTERVAL_MS = 200
+/** Routers get ledger copies less often than peers, because peers hold newer ones; this bounds the traffic of a router. */
+const REPLICATE_INTERVAL_MS = 4_000
+const GRANT_EXPIRY_MS = 1_000
+
+interface ZoneSchedulerOptions {
+  zone: string
+  term: number
+  getWeight: (account: string) => number
+  isTargetOpen: (target: string) => boolean
+}
+
+/**
+ * @name ZoneScheduler
+ * @category Schedule
+ * @summary Owns the slots of the targets of one zone and gives them to the accounts in fair order.
+ *
+ * @description
+ * Decision code without I/O: each method takes the time and an input, and yields effects. State is soft: after `start`
+ * it waits for the full reports of the routers, at most 300 ms, and then grants.
+ *
+ * @param options - Own zone, term of this scheduler, weight of an account, whether a target is open.
+ *
+ * @example
+ * const scheduler = new ZoneScheduler({ zone: 'perth-a', term: 1, getWeight: () => 1, isTargetOpen: () => true })
+ * scheduler.setTargets([{ name: 'e1', service: 'llama', slots: 8 }])
+ * for (const effect of scheduler.start(nowMs, ['r1'])) run(effect)
+ */
+export class ZoneScheduler {
+  readonly term: number
+  readonly #pools: PoolSet
+  readonly #grants: GrantBook
+  readonly #lends: LendBook
+  readonly #routers = new Map<string, RouterState>()
+  readonly #expected = new Set<string>()
+  #collectUntilMs = Infinity
+  #isGranting = false
+  #lastExchangeAtMs = -Infinity
+  #lastReplicateAtMs = -Infinity
+
+  constructor (options: ZoneSchedulerOptions) {
+    this.term = options.term
+    this.#pools = new PoolSet(options)
+    this.#lends = new LendBook({ term: options.term, pools: this.#pools })
+    this.#grants = new GrantBook({ pools: this.#pools, lends: this.#lends })
+  }
+
+  get isGranting (): boolean {
+    return this.#isGranting
+  }
+
+  /** Begins to collect reports from the routers that are known to be live. */
+  * start (nowMs: number, routers: Iterable<string>): Generator<SchedulerEffect> {
+    for (const router of routers) this.#expected.add(router)
+    this.#collectUntilMs = nowMs + COLLECT_MS
+    yield * this.#run(nowMs)
+  }
+
+  setTargets (targets: ReadonlyArray<{ name: string, service: string, slots: number }>): void {
+    this.#pools.setTargets(targets)
+  }
+
+  * handleRegister (nowMs: number, router: string, report: RouterReport): Generator<SchedulerEffect> {
+    const before = this.#routers.get(router)
+    if (before) this.#grants.removeRouter(nowMs, router, before)
+    const state: RouterState = { session: report.session, lastHeardAtMs: nowMs, nextGrantId: 1, grants: new Map() }
+    this.#routers.set(router, state)
+    this.#expected.delete(router)
+    this.#pools.mergeLedger(report.ledger)
+    for (const { service, account, cost } of report.settled) this.#pools.settle(service, account, { charged: 0, cost })
+    for (const held of report.held) this.#grants.restore(nowMs, router, state, held)
+    for (const backlog of report.backlog) this.#handleBacklog(router, state, backlog, state.nextGrantId - 1)
+    yield * this.#run(nowMs)
+  }
+
+  /** Returns false through the generator if the router has to register first. */
+  * handleBatch (nowMs: number, router: string, batch: RouterBatch): Generator<SchedulerEffect, boolean> {
+    const state = this.#routers.get(router)
+    if (!state || state.session !== batch.session) return false
+    state.lastHeardAtMs = nowMs
+    for (const operation of batch.operations) this.#handleOperation(nowMs, router, state, operation, batch.lastGrantId)
+    yield * this.#run(nowMs)
+    return true
+  }
+
+  * handlePeer (nowMs: number, zone: string, instance: string, message: PeerMessage): Generator<SchedulerEffect> {
+    this.#lends.handlePeer(nowMs, zone, instance, message)
+    for (const lend of this.#lends.takeReceived()) this.#grantLent(nowMs, lend)
+    yield * this.#run(nowMs)
+  }
+
+  * removeRouter (nowMs: number, router: string): Generator<SchedulerEffect> {
+    const state = this.#routers.get(router)
+    if (!state) return
+    this.#routers.delete(router)
+    this.#grants.removeRouter(nowMs, router, state)
+    yield * this.#run(nowMs)
+  }
+
+  observeLoad (nowMs: number, service: string, target: string, load: { running: number, waiting: number, lagMs: number }): void {
+    this.#pools.get(service).targets.observeLoad(target, nowMs, load)
+  }
+
+  * tick (nowMs: number): Generator<SchedulerEffect> {
+    for (const pool of this.#pools.list()) pool.targets.tick(nowMs)
+    for (const [router, state] of this.#routers) {
+      if (nowMs - state.lastHeardAtMs > ROUTER_TIMEOUT_MS) yield * this.removeRouter(nowMs, router)
+    }
+    this.#lends.expire(nowMs)
+    yield * this.#run(nowMs)
+    if (nowMs - this.#lastExchangeAtMs >= EXCHANGE_INTERVAL_MS) {
+      this.#lastExchangeAtMs = nowMs
+      this.#lends.sendChanges(nowMs, this.#listHeldLends())
+    }
+    yield * this.#lends.takeEffects()
+    if (nowMs - this.#lastReplicateAtMs < REPLICATE_INTERVAL_MS) return
+    this.#lastReplicateAtMs = nowMs
+    yield { type: 'replicate', ledger: this.#pools.takeReplica() }
+  }
+
+  /** Head of the next message to a peer. */
+  getPeerHead (zone: string): Omit<PeerMessage, 'operations'> {
+    return this.#lends.getHead(zone)
+  }
+
+  /** Whether the scheduler of another zone was heard lately. */
+  hasLivePeer (zone: string): boolean {
+    return this.#lends.isLive(zone)
+  }
+
+  listPools (): Iterable<[service: string, pool: ServicePool]> {
+    return this.#pools.listEntries()
+  }
+
+  getPool (service: string): ServicePool {
+    return this.#pools.get(service)
+  }
+
+  #handleOperation (nowMs: number, router: string, state: RouterState, operation: RouterOperation, lastGrantId: number): void {
+    switch (operation.type) {
+      case 'backlog': return this.#handleBacklog(router, state, operation, lastGrantId)
+      case 'release': return this.#grants.release(nowMs, state, operation)
+      case 'decline': return this.#grants.refuse(nowMs, state, operation.id)
+      case 'progress': return this.#grants.recordProgress(state, operation)
+    }
+  }
+
+  #handleBacklog (router: string, state: RouterState, backlog: RouterReport['backlog'][number], lastGrantId: number): void {
+    this.#pools.get(backlog.service).updateLocal(backlog.account, router, entry => {
+      entry.estimate = backlog.estimate
+      entry.prefixHash = backlog.prefixHash
+      entry.excluded = backlog.excluded && new Set(backlog.excluded)
+      entry.report(backlog.waiting, lastGrantId)
+    })
+    this.#pools.addChange(backlog.service, backlog.account)
+  }
+
+  /** Gives out free slots as long as there are requests for them, then announces what changed. */
+  * #run (nowMs: number): Generator<SchedulerEffect> {
+    if (!this.#isGranting) this.#isGranting = nowMs >= this.#collectUntilMs || (this.#collectUntilMs !== Infinity && this.#expected.size === 0)
+    if (this.#isGranting) {
+      for (const service of this.#pools.takeChangedServices()) this.#grantFree(nowMs, service)
+    }
+    yield * this.#grants.takeEffects()
+    this.#lends.notifyPeers()
+    yield * this.#lends.takeEffects()
+  }
+
+  #grantFree (nowMs: number, service: string): void {
+    const pool = this.#pools.get(service)
+    for (let next = pool.choose(); next; next = pool.choose()) {
+      if ('zone' in next.to) {
+        this.#lends.lend(nowMs, service, { ...next, zone: next.to.zone })
+      } else {
+        const { router } = next.to
+        this.#grants.grant(nowMs, this.#routers.get(router)!, { ...next, service, router, expiresInMs: GRANT_EXPIRY_MS })
+      }
+    }
+  }
+
+  #grantLent (nowMs: number, lend: { zone: string, id: number, service: string, account: string, target: string }): void {
+    const place = this.#isGranting ? this.#pools.get(lend.service).chooseRouter(lend.account, lend.target) : undefined
+    if (!place) return this.#lends.refuse(lend.zone, lend.id)
+    const { zone, id, ...slot } = lend
+    this.#grants.grant(nowMs, this.#routers.get(place.router)!, { ...slot, ...place, charge: 0, lentBy: { zone, id }, expiresInMs: GRANT_EXPIRY_MS })
+  }
+
+  #listHeldLends (): ReturnType<GrantBook['listLent']> {
+    return [...this.#routers.values()].flatMap(state => this.#grants.listLent(state))
+  }
+}
--- /dev/null
+++ b/src/schedule/_lib/GrantBook/index.ts
@@ -0,0 +1,118 @@
+import type { RouterReport } from '../../RouterReport'
+import type { SchedulerEffect } from '../../SchedulerEffect'
+import type { GrantRecord } from '../GrantRecord'
+import type { LendBook } from '../LendBook'
+import type { PoolSet } from '../PoolSet'
+import type { RouterState } from '../RouterState'
+
+interface NewGrant {
+  router: string
+  service: string
+  account: string
+  target: string
+  charge: number
+  hint: number
+  expiresInMs: number
+  lentBy?: { zone: string, id: number }
+}
+
+interface HeldLend {
+  zone: string
+  id: number
+  service: string
+  account: string
+  target: string
+  cost: number
+}
+
+/** The grants that the routers of the zone hold: charges them, settles them and frees their slots. */
+export class GrantBook {
+  readonly #pools: PoolSet
+  readonly #lends: LendBook
+  #effects: SchedulerEffect[] = []
+
+  constructor (options: { pools: PoolSet, lends: LendBook }) {
+    this.#pools = options.pools
+    this.#lends = options.lends
+  }
+
+  takeEffects (): SchedulerEffect[] {
+    const effects = this.#effects
+    this.#effects = []
+    return effects
+  }
+
+  grant (nowMs: number, state: RouterState, grant: NewGrant): void {
+    const { router, service, account, target, charge, hint, lentBy, expiresInMs } = grant
+    const id = state.nextGrantId++
+    const record: GrantRecord = { id, router, service, account, target, charged: charge, hint, grantedAtMs: nowMs, lentBy }
+    state.grants.set(id, record)
+    if (!lentBy) this.#takeSlot(nowMs, record)
+    this.#pools.get(service).updateLocal(account, router, entry => entry.addGrant(id))
+    this.#pools.addChange(service, account)
+    this.#effects.push({ type: 'grant', router, session: state.session, grant: { id, account, service, target, expiresInMs, lentBy } })
+  }
+
+  /** Takes over a grant that an earlier scheduler gave. */
+  restore (nowMs: number, router: string, state: RouterState, held: RouterReport['held'][number]): void {
+    const { id, service, account, target, charged, lentBy } = held
+    const record: GrantRecord = { id, router, service, account, target, charged, hint: 0, grantedAtMs: nowMs, lentBy }
+    state.nextGrantId = Math.max(state.nextGrantId, id + 1)
+    state.grants.set(id, record)
+    if (!lentBy) this.#takeSlot(nowMs, record)
+  }
+
+  release (nowMs: number, state: RouterState, release: { id: number, cost: number, isHealthy: boolean }): void {
+    const record = takeRecord(state, release.id)
+    if (!record) return
+    const { service, account, charged, hint, lentBy } = record
+    this.#pools.get(service).estimator.observe(account, { hint, cost: release.cost })
+    if (lentBy) return this.#lends.releaseLent(lentBy, release.cost, release.isHealthy)
+    this.#pools.get(service).targets.release(record.target, nowMs, release.isHealthy)
+    this.#pools.settle(service, account, { charged, cost: release.cost })
+  }
+
+  refuse (nowMs: number, state: RouterState, id: number): void {
+    const record = takeRecord(state, id)
+    if (!record) return
+    if (record.lentBy) return this.#lends.refuse(record.lentBy.zone, record.lentBy.id)
+    this.#pools.get(record.service).targets.release(record.target, nowMs)
+    this.#pools.charge(record.service, record.account, -record.charged)
+  }
+
+  recordProgress (state: RouterState, progress: { id: number, cost: number }): void {
+    const record = state.grants.get(progress.id)
+    if (!record || progress.cost <= record.charged) return
+    const more = progress.cost - record.charged
+    record.charged = progress.cost
+    if (record.lentBy) this.#lends.reportProgress(record.lentBy, progress.cost)
+    else this.#pools.charge(record.service, record.account, more)
+  }
+
+  /** Frees what a router held that is gone. What its requests were charged so far counts as their cost. */
+  removeRouter (nowMs: number, router: string, state: RouterState): void {
+    for (const id of [...state.grants.keys()]) this.release(nowMs, state, { id, cost: state.grants.get(id)!.charged, isHealthy: true })
+    for (const [service, pool] of this.#pools.listEntries()) {
+      for (const account of pool.removeRouter(router)) this.#pools.addChange(service, account)
+    }
+  }
+
+  listLent (state: RouterState): HeldLend[] {
+    const held: HeldLend[] = []
+    for (const { lentBy, service, account, target, charged } of state.grants.values()) {
+      if (lentBy) held.push({ ...lentBy, service, account, target, cost: charged })
+    }
+    return held
+  }
+
+  #takeSlot (nowMs: number, record: GrantRecord): void {
+    this.#pools.get(record.service).targets.take(record.target, nowMs)
+    this.#pools.charge(record.service, record.account, record.charged)
+  }
+}
+
+function takeRecord (state: RouterState, id: number): GrantRecord | undefined {
+  const record = state.grants.get(id)
+  state.grants.delete(id)
+  return record
+}
--- /dev/null
+++ b/src/schedule/_lib/GrantRecord/index.ts
@@ -0,0 +1,18 @@
+/** A grant that a router of the own zone holds. */
+export interface GrantRecord {
+  id: number
+  router: string
+  service: string
+  account: string
+  target: string
+  charged: number
+  /** Estimate before correction; 0 if it is not known. */
+  hint: number
+  grantedAtMs: number
+  /** Set if another zone lent the slot. That zone charges the account. */
+  lentBy?: { zone: string, id: number }
+  /** Grant that takes over the slot when this one is released. */
+  next?: GrantRecord
+  /** True while another grant still uses the slot. */
+  isPrefetched?: boolean
+}
--- /dev/null
+++ b/src/schedule/_lib/LentRecord/index.ts
@@ -0,0 +1,10 @@
+/** A slot of the own zone that a request of another zone uses. */
+export interface LentRecord {
+  id: number
+  zone: string
+  service: string
+  account: string
+  target: string
+  charged: number
+  hint: number
+}
--- /dev/null
+++ b/src/schedule/decodeGrants/index.ts
@@ -0,0 +1,34 @@
+import { GrantBatchMessage } from '../../contract/GrantBatchMessage'
+import type { GrantOperation } from '../GrantOperation'
+import type { NameDecoder } from '../NameDecoder'
+
+type WireOperation = GrantBatchMessage[1][number]
+
+function decodeGrant (wire: Exclude<WireOperation, [0, ...unknown[]]>, names: NameDecoder): GrantOperation {
+  const [code, id, account, service, target, expiresInMs] = wire
+  const grant = { id, account: names.get(account), service: names.get(service), target: names.get(target), expiresInMs }
+  return code === 1 ? { ...grant, afterId: wire[6] } : { ...grant, lentBy: { zone: names.get(wire[6]), id: wire[7] } }
+}
+
+/**
+ * @name decodeGrants
+ * @category Schedule
+ * @summary The grants in a `grant` message.
+ *
+ * @param body - Body of the message.
+ * @param names - Names that the scheduler defined on the connection.
+ * @returns Session that the grants are for, and the grants.
+ * @throws ZodError if the body has another form; AppError `frame-invalid` if a number was not defined.
+ *
+ * @example
+ * const { session, grants } = decodeGrants(body, names)
+ */
+export function decodeGrants (body: unknown, names: NameDecoder): { session: number, grants: GrantOperation[] } {
+  const [session, wires] = GrantBatchMessage.parse(body)
+  const grants: GrantOperation[] = []
+  for (const wire of wires) {
+    if (wire[0] === 0) names.set(wire[1], wire[2])
+    else grants.push(decodeGrant(wire, names))
+  }
+  return { session, grants }
+}
--- /dev/null
+++ b/src/schedule/encodePeerMessage/index.ts
@@ -0,0 +1,39 @@
+import type { ExchangeMessage } from '../../contract/ExchangeMessage'
+import { convertCost } from '../_lib/convertCost'
+import type { NameEncoder } from '../NameEncoder'
+import type { PeerMessage } from '../PeerMessage'
+import type { PeerOperation } from '../PeerOperation'
+
+type WireOperation = ExchangeMessage[4][number]
+
+function encodeOperation (operation: PeerOperation, names: NameEncoder): WireOperation {
+  const getNumber = (name: string): number => names.getNumber(name)
+  switch (operation.type) {
+    case 'full': return [6]
+    case 'account': return [1, getNumber(operation.service), getNumber(operation.account), convertCost(operation.total), convertCost(operation.outstanding), operation.waiting, convertCost(operation.lift)]
+    case 'copy': return [8, getNumber(operation.service), getNumber(operation.account), convertCost(operation.total)]
+    case 'held': return [7, operation.id, getNumber(operation.service), getNumber(operation.account), getNumber(operation.target), convertCost(operation.cost)]
+    case 'lend': return [2, operation.id, getNumber(operation.service), getNumber(operation.account), getNumber(operation.target)]
+    case 'lendDeclined': return [3, operation.id]
+    case 'lendProgress': return [5, operation.id, convertCost(operation.cost)]
+    case 'lendReturned': return operation.isHealthy ? [4, operation.id, convertCost(operation.cost)] : [4, operation.id, convertCost(operation.cost), 1]
+  }
+}
+
+/**
+ * @name encodePeerMessage
+ * @category Schedule
+ * @summary A message between schedulers in its positional form.
+ *
+ * @param message - The message.
+ * @param names - Numbers of names on the connection.
+ * @returns Body of an `exchange` message.
+ *
+ * @example
+ * link.send('exchange', encodePeerMessage(message, names))
+ */
+export function encodePeerMessage (message: PeerMessage, names: NameEncoder): ExchangeMessage {
+  const { term, session, echoedSession, lastLendId } = message
+  const operations = message.operations.map(operation => encodeOperation(operation, names))
+  return [term, session, echoedSession, lastLendId, [...names.takeDefinitions(), ...operations]]
+}
