--- a/src/instance/_lib/PeerLinks/index.ts
+++ b/src/instance/_lib/PeerLinks/index.ts
@@ -30,7 +30,7 @@
 
   /** Opens links to all routers of a zone and closes links to routers that left the directory. */
   update (zone: string): void {
-    const routers = this.#options.directory.listRouters()
+    const routers = this.#options.directory.list()
     for (const router of routers) {
       if (router.zone === zone) this.#getConnection(router.instance)
     }
@@ -42,11 +42,11 @@
   }
 
   listInstances (zone: string): string[] {
-    return this.#options.directory.listRouters().filter(router => router.zone === zone).map(router => router.instance)
+    return this.#options.directory.list().filter(router => router.zone === zone).map(router => router.instance)
   }
 
   listZones (): string[] {
-    return [...new Set(this.#options.directory.listRouters().map(router => router.zone))]
+    return [...new Set(this.#options.directory.list().map(router => router.zone))]
   }
 
   /** Sends a one-way message; returns false when there is no link. The body is created only if there is one. */
@@ -67,7 +67,7 @@
   #getConnection (instance: string): Connection | undefined {
     const known = this.#connections.get(instance)
     if (known) return known
-    const address = this.#options.directory.listRouters().find(router => router.instance === instance)
+    const address = this.#options.directory.list().find(router => router.instance === instance)
     if (!address) return undefined
     const client = new LinkClient(address, { ...this.#options.linkOptions, onLink: link => this.#handleLink(instance, link) })
     const connection = { address, client, names: new NameEncoder() }
--- a/src/instance/_lib/RouterDirectory/index.ts
+++ b/src/instance/_lib/RouterDirectory/index.ts
@@ -1,6 +1,6 @@
 import type { PeerAddress } from '../../../contract/PeerAddress'
 
-/** The other routers that are known now. A membership view can take the place of the list from the settings file. */
+/** The other routers that are known now; the peer directory of the membership room is one. */
 export interface RouterDirectory {
-  listRouters: () => readonly PeerAddress[]
+  list: () => readonly PeerAddress[]
 }
--- a/src/instance/_lib/startScheduling/index.ts
+++ b/src/instance/_lib/startScheduling/index.ts
@@ -2,7 +2,7 @@
 import type { RouterSettings } from '../../../contract/RouterSettings'
 import type { LifecycleManager } from '../../../lifecycle/LifecycleManager'
 import type { LinkOptions } from '../../../link/LinkOptions'
-import type { Link } from '../../../link/Link'
+import type { MessageHandler } from '../../../link/MessageHandler'
 import { FleetAdmissionGate } from '../../../schedule/FleetAdmissionGate'
 import type { MetricsSink } from '../../../schedule/MetricsSink'
 import type { PartLogger } from '../../../telemetry/PartLogger'
@@ -14,12 +14,12 @@
   view: SettingsView
   linkOptions: LinkOptions
   /** Handlers of the link server; those of the scheduler are added. */
-  handlers: Map<string, (body: unknown, link: Link) => unknown>
+  handlers: Map<string, MessageHandler>
   lifecycle: LifecycleManager
   logger: PartLogger
   /** False while a target must get no new work. */
   isTargetOpen?: (target: string) => boolean
-  directory?: RouterDirectory
+  directory: RouterDirectory
   metrics?: MetricsSink
 }
 
@@ -32,7 +32,7 @@
     instance: settings.instance,
     zone: settings.zone,
     gate,
-    directory: options.directory ?? { listRouters: () => settings.routers },
+    directory: options.directory,
     linkOptions,
     metrics: options.metrics ?? { addCount: () => {}, setGauge: () => {} },
     logger,
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -1,20 +1,17 @@
 import { randomUUID } from 'node:crypto'
-import { SettingsFollower } from '../../configuration/SettingsFollower'
-import { SettingsTree } from '../../configuration/SettingsTree'
-import { SettingsView } from '../../configuration/SettingsView'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import type { RouterSettings } from '../../contract/RouterSettings'
 import { LifecycleManager } from '../../lifecycle/LifecycleManager'
-import type { Link } from '../../link/Link'
-import { LinkClient } from '../../link/LinkClient'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
 import { TargetClient } from '../../target/TargetClient'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
+import { createPeerDirectory } from '../_lib/createPeerDirectory'
+import { createSettings } from '../_lib/createSettings'
+import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
 import { startHttpServer } from '../startHttpServer'
-import { startScheduling } from '../_lib/startScheduling'
 
 interface RunningRouter {
   http: ListenAddress
@@ -39,9 +36,9 @@
   const processLogger = createLogger({ instance: settings.instance, level: settings.logLevel })
   const logger = createPartLogger(processLogger, 'router')
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
-  const tree = new SettingsTree()
-  const view = new SettingsView()
-  const handlers = new Map<string, (body: unknown, link: Link) => unknown>()
+  const directory = createPeerDirectory(settings, logger, lifecycle)
+  const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
+  const handlers = new Map(configuration.handlers)
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
@@ -51,14 +48,10 @@
   const links = new LinkServer(linkOptions)
   const link = await links.listen(settings.link)
   lifecycle.register('links', () => links.close())
-  const control = settings.control.map(address => new LinkClient(address, linkOptions))
-  lifecycle.register('control links', () => control.forEach(client => client.close()))
-  const follower = new SettingsFollower({ tree, view, sources: () => control })
-  follower.start()
-  lifecycle.register('settings follower', () => follower.stop())
+  configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const gate = startScheduling({ settings, view, linkOptions, handlers, lifecycle, logger: createPartLogger(processLogger, 'schedule') })
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, logger: createPartLogger(processLogger, 'schedule') })
   const calls = new CallHandler({ view, gate, targets, maxBodyBytes: settings.maxBodyBytes })
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
