Test settings over real processes with a paused relay and a partition

Cause: the relays had only been tested in process.

Change: two tests with nine processes each: a relay that is paused must not hold back its zone; a partitioned zone serves with its settings, a router that cold starts there gets them from its neighbour, and the zone catches up without going back.

--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,68 @@
+import { applySettings } from './_lib/applySettings'
+import { startFleet } from './_lib/startFleet'
+import { waitFor } from './_lib/waitFor'
+
+type Fleet = Awaited<ReturnType<typeof startFleet>>
+type Router = Fleet['routers'][number]
+
+const ZONES = ['z1', 'z2', 'z3']
+// A router is asked in every loop; routers of z3 are r3 and r6, those of z1 are r1 (relay) and r4.
+const startThreeZones = () => startFleet({
+  zones: ZONES,
+  routersPerZone: 2,
+  controls: 3,
+  accounts: { a: {} },
+  bookings: ZONES.map(zone => ({ name: `b-${zone}`, zone, service: 'booking' }))
+})
+
+async function getOffset (router: Router): Promise<number> {
+  const response = await fetch(`${router.url}/readyz`, { signal: AbortSignal.timeout(1_000) })
+  await response.text()
+  return Number(response.headers.get('papayalead-settings-offset'))
+}
+
+const change = (fleet: Fleet, reason: string, controls = fleet.controls): Promise<number> =>
+  applySettings({ '/teams/t/drains/unused': { reason } }, { controlUrls: controls.map(({ url }) => url), token: fleet.token })
+
+const waitForOffset = (router: Router, offset: number) =>
+  waitFor(`offset ${offset} at ${router.name}`, async () => await getOffset(router) >= offset)
+
+const read = (router: Router) => fetch(`${router.url}/services/booking/bookings/0`, { headers: { authorization: 'Bearer key-a' } })
+
+describe('settings over real processes', () => {
+  it('reach routers whose relay is paused, so that one silent router does not hold back its zone', async () => {
+    const fleet = await startThreeZones()
+    try {
+      const [relay, , , follower] = fleet.routers
+      relay.signal('SIGSTOP')
+      await waitForOffset(follower, await change(fleet, 'relay paused'))
+      relay.signal('SIGCONT')
+      await waitForOffset(relay, await change(fleet, 'relay resumed'))
+    } finally {
+      await fleet.stop()
+    }
+  })
+
+  it('stay in effect in a partitioned zone, reach a router that cold starts there, and catch up without going back', async () => {
+    const fleet = await startThreeZones()
+    try {
+      const inside = ['r3', 'r6', 'c3']
+      const outside = ['r1', 'r2', 'r4', 'r5', 'c1', 'c2']
+      const routers = fleet.routers.filter(router => inside.includes(router.name))
+      const before = await getOffset(routers[0])
+      fleet.partition(inside, outside)
+      const newest = await change(fleet, 'while partitioned', fleet.controls.slice(0, 2))
+      await Promise.all(fleet.routers.filter(router => outside.includes(router.name)).map(router => waitForOffset(router, newest)))
+      await fleet.controls[2].kill()
+      await routers[1].kill()
+      await routers[1].restart()
+      await waitForOffset(routers[1], before)
+      expect((await read(routers[1])).status).toBe(200)
+      expect(await getOffset(routers[0])).toBe(before)
+      fleet.heal()
+      await Promise.all(routers.map(router => waitForOffset(router, newest)))
+    } finally {
+      await fleet.stop()
+    }
+  })
+})
