Exchange totals and lend slots between zones

The schedulers of the zones now exchange totals and backlogs and lend slots. Routers report the mean estimate of their queue and correct it when a request starts; averages of single cost ratios were biased and inflated charges a thousand-fold. Changes are sent after 20 ms while few accounts change.

--- /dev/null
+++ b/src/bench/_lib/fairness/SimRequest/index.ts
@@ -0,0 +1,9 @@
+/** A request of the fairness experiment. */
+export interface SimRequest {
+  account: string
+  /** Actual cost in tokens. */
+  cost: number
+  /** Cost that the caller announces. */
+  hint: number
+  arrivedAtMs: number
+}
--- a/src/contract/ZoneHeartbeatMessage/index.ts
+++ b/src/contract/ZoneHeartbeatMessage/index.ts
@@ -5,7 +5,7 @@
 /**
  * @name ZoneHeartbeatMessage
  * @category Contract
- * @summary Body of `zoneHeartbeat`: a scheduler tells the routers of its zone that it is in charge.
+ * @summary Body of `h`: a scheduler tells the routers of its zone that it is in charge.
  *
  * @description
  * `[term, isLeaving, operations]`. `isLeaving` is 1 when the scheduler hands over because of a planned stop. Operations:
--- a/src/instance/_lib/ScheduleNode/index.ts
+++ b/src/instance/_lib/ScheduleNode/index.ts
@@ -65,7 +65,7 @@
     this.#election = new SchedulerElection(performance.now(), { instance, startedAt: this.#startedAt, hasPeers })
     this.#agent = new RouterAgent({
       gate,
-      sendBatch: (scheduler, batch) => this.#send(scheduler, 'queue', {
+      sendBatch: (scheduler, batch) => this.#send(scheduler, 'q', {
         toSelf: () => this.#host?.handleBatch(instance, batch),
         createBody: names => encodeRouterBatch(batch, names)
       }),
@@ -177,16 +177,20 @@
       getWeight,
       isTargetOpen,
       metrics,
-      sendGrants: (router, session, grants) => this.#send(router, 'grant', {
+      getNowMs: () => performance.now(),
+      scheduleFlush: run => { setImmediate(run) },
+      sendGrants: (router, session, grants) => this.#send(router, 'g', {
         toSelf: () => this.#agent.handleGrants(instance, session, grants),
         createBody: names => encodeGrants(session, grants, names)
       }),
-      sendPeer: (peer, message) => this.#send(peer, 'exchange', { toSelf: () => {}, createBody: names => encodePeerMessage(message, names) }),
+      sendPeer: (peer, message) => this.#send(peer, 'x', { toSelf: () => {}, createBody: names => encodePeerMessage(message, names) }),
       replicate: ledger => this.#recordReplica(ledger)
     })
     this.#host.scheduler.setTargets(listTargets())
     this.#sendHeartbeat(false)
-    this.#host.start([...this.#election.listMembers(), instance])
+    const zones = this.#links.listZones().filter(other => other !== zone)
+    this.#host.start({ routers: [...this.#election.listMembers(), instance], zones })
+    this.#lastProbeAtMs = -Infinity
     this.#agent.setScheduler(instance)
   }
 
@@ -210,7 +214,7 @@
   }
 
   #sendHeartbeatTo (instance: string, isLeaving: boolean, ledger: RouterReport['ledger']): void {
-    this.#links.send(instance, 'zoneHeartbeat', names => encodeHeartbeat({ term: this.#election.term, isLeaving, ledger }, names))
+    this.#links.send(instance, 'h', names => encodeHeartbeat({ term: this.#election.term, isLeaving, ledger }, names))
   }
 
   /** Asks a router of each zone whose scheduler is not known or silent, in turn. */
--- a/src/instance/_lib/SchedulerHost/index.ts
+++ b/src/instance/_lib/SchedulerHost/index.ts
@@ -13,6 +13,10 @@
   getWeight: (account: string) => number
   isTargetOpen: (target: string) => boolean
   metrics: MetricsSink
+  /** Monotonic clock in milliseconds. */
+  getNowMs: () => number
+  /** Runs a function after the present turn of the event loop. */
+  scheduleFlush: (run: () => void) => void
   sendGrants: (router: string, session: number, grants: GrantOperation[]) => void
   sendPeer: (instance: string, message: PeerMessage) => void
   replicate: (ledger: RouterReport['ledger']) => void
@@ -33,26 +37,26 @@
     this.scheduler = new ZoneScheduler(options)
   }
 
-  start (routers: string[]): void {
-    this.#run(this.scheduler.start(performance.now(), routers))
+  start (expected: { routers: string[], zones: string[] }): void {
+    this.#run(this.scheduler.start(this.#options.getNowMs(), expected))
   }
 
   handleReport (router: string, report: RouterReport): void {
-    this.#run(this.scheduler.handleRegister(performance.now(), router, report))
+    this.#run(this.scheduler.handleRegister(this.#options.getNowMs(), router, report))
   }
 
   handleBatch (router: string, batch: RouterBatch): void {
-    const isKnown = this.#run(this.scheduler.handleBatch(performance.now(), router, batch))
+    const isKnown = this.#run(this.scheduler.handleBatch(this.#options.getNowMs(), router, batch))
     if (!isKnown) this.#options.sendGrants(router, 0, [])
   }
 
   handlePeer (zone: string, instance: string, message: PeerMessage): void {
     this.#peerInstances.set(zone, instance)
-    this.#run(this.scheduler.handlePeer(performance.now(), zone, instance, message))
+    this.#run(this.scheduler.handlePeer(this.#options.getNowMs(), zone, instance, message))
   }
 
   removeRouter (router: string): void {
-    this.#run(this.scheduler.removeRouter(performance.now(), router))
+    this.#run(this.scheduler.removeRouter(this.#options.getNowMs(), router))
   }
 
   /** Presents this scheduler to the one of another zone. */
@@ -111,7 +115,7 @@
   #scheduleFlush (): void {
     if (this.#isFlushScheduled) return
     this.#isFlushScheduled = true
-    setImmediate(() => this.#flush())
+    this.#options.scheduleFlush(() => this.#flush())
   }
 
   #flush (): void {
--- a/src/schedule/FleetAdmissionGate/index.ts
+++ b/src/schedule/FleetAdmissionGate/index.ts
@@ -176,6 +176,7 @@
     const grant = entry.grant!
     const held = this.#held.get(grant.id)!
     held.estimate = entry.request.estimate
+    if (grant.estimate !== held.estimate) this.#report({ type: 'start', id: grant.id, estimate: held.estimate })
     this.#getRate(grant.account).observe(performance.now())
     return {
       target: grant.target,
--- a/src/schedule/GrantOperation/index.ts
+++ b/src/schedule/GrantOperation/index.ts
@@ -4,19 +4,20 @@
  * @summary A slot of a target that the scheduler gives to a request of an account in a router.
  *
  * @description
- * `id` is unique for the router. `expiresInMs`: the router returns the grant if it can't use it by then. `afterId`: the
+ * `id` is unique for the router. `estimate`: the announced cost that was charged; the router reports the
+ * one of the request that it starts, if that differs. `afterId`: the
  * grant becomes usable when the router releases the grant with this id (grant prefetching). `lentBy`: the zone that lent the
  * slot, and its number for it.
  *
  * @example
- * const grant: GrantOperation = { id: 17, account: 'quotes', service: 'llama', target: 'e1', expiresInMs: 1000 }
+ * const grant: GrantOperation = { id: 17, account: 'quotes', service: 'llama', target: 'e1', estimate: 300 }
  */
 export interface GrantOperation {
   id: number
   account: string
   service: string
   target: string
-  expiresInMs: number
+  estimate: number
   afterId?: number
   lentBy?: { zone: string, id: number }
 }
--- a/src/schedule/ServicePool/index.ts
+++ b/src/schedule/ServicePool/index.ts
@@ -9,6 +9,12 @@
 const MAX_PASSED_OVER = 16
 /** Requests of the own zone go first until another zone has more than this many times as many of the account. */
 const LOCAL_PREFERENCE = 2
+/**
+ * An account whose requests wait in the own zone may be ahead by this part of the largest request's cost and still go
+ * first. Lending costs a round trip between zones and several messages, and zones that all serve the same account
+ * within one exchange overshoot.
+ */
+const LOCAL_LEAD_REQUESTS = 0.25
 /**
  * MAX_CREDIT as a multiple of the largest request's cost. It must exceed the gap of normal operation (about two
  * requests and one exchange interval): a smaller value cancels debts that are due, and the gap then grows with time.
@@ -24,6 +30,7 @@
 interface Assignment {
   account: string
   target: string
+  /** Announced cost, and the charge that follows from it. */
   hint: number
   charge: number
   /** Router of the own zone, or the zone that the slot is lent to. */
@@ -54,7 +61,9 @@
   readonly #options: ServicePoolOptions
   readonly #backlogs = new Map<string, AccountBacklog>()
   readonly #order = new IndexedHeap<string>()
-  /** The same accounts, furthest ahead first. */
+  /** The accounts that have requests in the own zone. */
+  readonly #localOrder = new IndexedHeap<string>()
+  /** All backlogged accounts, furthest ahead first. */
   readonly #ahead = new IndexedHeap<string>()
   /** Normalised service of the account that was chosen last. Accounts that return when none is backlogged start here. */
   #virtualTime = 0
@@ -70,10 +79,23 @@
     return this.#order.size
   }
 
+  /** Accounts with service or with requests that wait. */
+  listAccounts (): Set<string> {
+    return new Set([...this.ledger.listAccounts(), ...this.#backlogs.keys()])
+  }
+
   countLocal (account: string): number {
     return this.#backlogs.get(account)?.localWaiting ?? 0
   }
 
+  /** Expected cost of the next request of the account in the own zone. */
+  getEstimate (account: string): number | undefined {
+    for (const entry of this.#backlogs.get(account)?.local.values() ?? []) {
+      if (entry.waiting > 0) return this.estimator.compute(account, entry.estimate)
+    }
+    return undefined
+  }
+
   updateLocal (account: string, router: string, change: (entry: BacklogEntry) => void): void {
     const backlog = this.#getBacklog(account)
     const wasBacklogged = this.#order.has(account)
@@ -99,14 +121,13 @@
 
   /** Brings an account's place in the order up to date after a change of its ledger or backlog. */
   update (account: string): void {
-    if ((this.#backlogs.get(account)?.waiting ?? 0) > 0) {
-      const normalised = this.ledger.getNormalised(account)
-      this.#order.set(account, normalised)
-      this.#ahead.set(account, -normalised)
-    } else {
-      this.#order.remove(account)
-      this.#ahead.remove(account)
-    }
+    const backlog = this.#backlogs.get(account)
+    if (!backlog || backlog.waiting === 0) return this.#remove(account)
+    const normalised = this.ledger.getNormalised(account)
+    this.#order.set(account, normalised)
+    this.#ahead.set(account, -normalised)
+    if (backlog.localWaiting > 0) this.#localOrder.set(account, normalised)
+    else this.#localOrder.remove(account)
   }
 
   observeCost (account: string, cost: number): void {
@@ -118,12 +139,12 @@
     const passedOver: string[] = []
     let assignment: Assignment | undefined
     while (!assignment && passedOver.length < MAX_PASSED_OVER) {
-      const account = this.#takeCreditBound()
+      const account = this.#chooseAccount()
       if (account === undefined) break
       assignment = this.#chooseSlot(account)
       if (assignment) break
       passedOver.push(account)
-      this.#order.remove(account)
+      this.#remove(account)
     }
     for (const account of passedOver) this.update(account)
     if (assignment) this.#virtualTime = Math.max(this.#virtualTime, this.ledger.getNormalised(assignment.account))
@@ -148,17 +169,31 @@
   }
 
   /** The account that is due next, after its credit was bounded. */
-  #takeCreditBound (): string | undefined {
+  #chooseAccount (): string | undefined {
     for (;;) {
       const account = this.#order.peek()
       const furthest = this.#ahead.peek()
       if (account === undefined || furthest === undefined || this.#largestCost === 0) return account
       const floor = this.ledger.getNormalised(furthest) - MAX_CREDIT_REQUESTS * this.#largestCost
-      if (!this.ledger.raise(account, floor)) return account
+      if (!this.ledger.raise(account, floor)) return this.#selectLocal(account)
       this.update(account)
     }
   }
 
+  /** An account with requests in the own zone goes first if it is nearly level with the one that is due. */
+  #selectLocal (due: string): string {
+    const local = this.#localOrder.peek()
+    if (local === undefined) return due
+    const lead = this.ledger.getNormalised(local) - this.ledger.getNormalised(due)
+    return lead <= LOCAL_LEAD_REQUESTS * this.#largestCost ? local : due
+  }
+
+  #remove (account: string): void {
+    this.#order.remove(account)
+    this.#localOrder.remove(account)
+    this.#ahead.remove(account)
+  }
+
   #chooseSlot (account: string): Assignment | undefined {
     const backlog = this.#backlogs.get(account)!
     const remote = backlog.findLongestRemote()
@@ -181,8 +216,7 @@
   #chooseRemoteSlot (account: string, remote: { zone: string, entry: BacklogEntry }): Assignment | undefined {
     const target = this.targets.choose({})
     if (target === undefined) return undefined
-    const hint = remote.entry.estimate
-    return { account, target, to: { zone: remote.zone }, hint, charge: this.estimator.compute(account, hint) }
+    return { account, target, to: { zone: remote.zone }, hint: remote.entry.estimate, charge: remote.entry.estimate }
   }
 
   /** Moves a router to the end, so that the routers of an account take turns. */
--- a/src/schedule/ZoneScheduler/index.ts
+++ b/src/schedule/ZoneScheduler/index.ts
@@ -13,9 +13,11 @@
 const COLLECT_MS = 300
 const ROUTER_TIMEOUT_MS = 1_000
 const EXCHANGE_INTERVAL_MS = 200
+/** While few accounts change, changes are sent this soon: zones that grant on old totals overshoot together. */
+const PROMPT_EXCHANGE_MS = 20
+const MAX_PROMPT_ACCOUNTS = 32
 /** Routers get ledger copies less often than peers, because peers hold newer ones; this bounds the traffic of a router. */
 const REPLICATE_INTERVAL_MS = 4_000
-const GRANT_EXPIRY_MS = 1_000
 
 interface ZoneSchedulerOptions {
   zone: string
@@ -31,14 +33,14 @@
  *
  * @description
  * Decision code without I/O: each method takes the time and an input, and yields effects. State is soft: after `start`
- * it waits for the full reports of the routers, at most 300 ms, and then grants.
+ * it waits for the full reports of routers and peers, at most 300 ms, and then grants.
  *
  * @param options - Own zone, term of this scheduler, weight of an account, whether a target is open.
  *
  * @example
  * const scheduler = new ZoneScheduler({ zone: 'perth-a', term: 1, getWeight: () => 1, isTargetOpen: () => true })
  * scheduler.setTargets([{ name: 'e1', service: 'llama', slots: 8 }])
- * for (const effect of scheduler.start(nowMs, ['r1'])) run(effect)
+ * for (const effect of scheduler.start(nowMs, { routers: ['r1'], zones: [] })) run(effect)
  */
 export class ZoneScheduler {
   readonly term: number
@@ -47,6 +49,7 @@
   readonly #lends: LendBook
   readonly #routers = new Map<string, RouterState>()
   readonly #expected = new Set<string>()
+  readonly #expectedZones = new Set<string>()
   #collectUntilMs = Infinity
   #isGranting = false
   #lastExchangeAtMs = -Infinity
@@ -63,9 +66,13 @@
     return this.#isGranting
   }
 
-  /** Begins to collect reports from the routers that are known to be live. */
-  * start (nowMs: number, routers: Iterable<string>): Generator<SchedulerEffect> {
-    for (const router of routers) this.#expected.add(router)
+  /**
+   * Begins to collect reports from the live routers and from the schedulers of other zones. Slots that are given out
+   * before these are known go to the accounts that happen to be queued here.
+   */
+  * start (nowMs: number, expected: { routers: Iterable<string>, zones: Iterable<string> }): Generator<SchedulerEffect> {
+    for (const router of expected.routers) this.#expected.add(router)
+    for (const zone of expected.zones) this.#expectedZones.add(zone)
     this.#collectUntilMs = nowMs + COLLECT_MS
     yield * this.#run(nowMs)
   }
@@ -98,7 +105,9 @@
   }
 
   * handlePeer (nowMs: number, zone: string, instance: string, message: PeerMessage): Generator<SchedulerEffect> {
-    this.#lends.handlePeer(nowMs, zone, instance, message)
+    const { isFull, needsFullReport } = this.#lends.handlePeer(nowMs, zone, instance, message)
+    if (isFull) this.#expectedZones.delete(zone)
+    if (needsFullReport) this.#lends.sendChanges(nowMs, () => this.#listHeldLends())
     for (const lend of this.#lends.takeReceived()) this.#grantLent(nowMs, lend)
     yield * this.#run(nowMs)
   }
@@ -122,11 +131,6 @@
     }
     this.#lends.expire(nowMs)
     yield * this.#run(nowMs)
-    if (nowMs - this.#lastExchangeAtMs >= EXCHANGE_INTERVAL_MS) {
-      this.#lastExchangeAtMs = nowMs
-      this.#lends.sendChanges(nowMs, this.#listHeldLends())
-    }
-    yield * this.#lends.takeEffects()
     if (nowMs - this.#lastReplicateAtMs < REPLICATE_INTERVAL_MS) return
     this.#lastReplicateAtMs = nowMs
     yield { type: 'replicate', ledger: this.#pools.takeReplica() }
@@ -155,6 +159,7 @@
       case 'backlog': return this.#handleBacklog(router, state, operation, lastGrantId)
       case 'release': return this.#grants.release(nowMs, state, operation)
       case 'decline': return this.#grants.refuse(nowMs, state, operation.id)
+      case 'start': return this.#grants.setEstimate(state, operation)
       case 'progress': return this.#grants.recordProgress(state, operation)
     }
   }
@@ -171,15 +176,23 @@
 
   /** Gives out free slots as long as there are requests for them, then announces what changed. */
   * #run (nowMs: number): Generator<SchedulerEffect> {
-    if (!this.#isGranting) this.#isGranting = nowMs >= this.#collectUntilMs || (this.#collectUntilMs !== Infinity && this.#expected.size === 0)
+    if (!this.#isGranting) this.#isGranting = nowMs >= this.#collectUntilMs || (this.#collectUntilMs !== Infinity && this.#expected.size + this.#expectedZones.size === 0)
     if (this.#isGranting) {
       for (const service of this.#pools.takeChangedServices()) this.#grantFree(nowMs, service)
     }
     yield * this.#grants.takeEffects()
     this.#lends.notifyPeers()
+    this.#sendChanges(nowMs)
     yield * this.#lends.takeEffects()
   }
 
+  #sendChanges (nowMs: number): void {
+    const intervalMs = this.#lends.countChanges() > MAX_PROMPT_ACCOUNTS ? EXCHANGE_INTERVAL_MS : PROMPT_EXCHANGE_MS
+    if (nowMs - this.#lastExchangeAtMs < intervalMs) return
+    this.#lastExchangeAtMs = nowMs
+    this.#lends.sendChanges(nowMs, () => this.#listHeldLends())
+  }
+
   #grantFree (nowMs: number, service: string): void {
     const pool = this.#pools.get(service)
     for (let next = pool.choose(); next; next = pool.choose()) {
@@ -187,7 +200,7 @@
         this.#lends.lend(nowMs, service, { ...next, zone: next.to.zone })
       } else {
         const { router } = next.to
-        this.#grants.grant(nowMs, this.#routers.get(router)!, { ...next, service, router, expiresInMs: GRANT_EXPIRY_MS })
+        this.#grants.grant(nowMs, this.#routers.get(router)!, { ...next, service, router })
       }
     }
   }
@@ -196,7 +209,7 @@
     const place = this.#isGranting ? this.#pools.get(lend.service).chooseRouter(lend.account, lend.target) : undefined
     if (!place) return this.#lends.refuse(lend.zone, lend.id)
     const { zone, id, ...slot } = lend
-    this.#grants.grant(nowMs, this.#routers.get(place.router)!, { ...slot, ...place, charge: 0, lentBy: { zone, id }, expiresInMs: GRANT_EXPIRY_MS })
+    this.#grants.grant(nowMs, this.#routers.get(place.router)!, { ...slot, ...place, charge: 0, lentBy: { zone, id } })
   }
 
   #listHeldLends (): ReturnType<GrantBook['listLent']> {
--- a/src/schedule/_lib/GrantBook/index.ts
+++ b/src/schedule/_lib/GrantBook/index.ts
@@ -12,7 +12,6 @@
   target: string
   charge: number
   hint: number
-  expiresInMs: number
   lentBy?: { zone: string, id: number }
 }
 
@@ -43,20 +42,20 @@
   }
 
   grant (nowMs: number, state: RouterState, grant: NewGrant): void {
-    const { router, service, account, target, charge, hint, lentBy, expiresInMs } = grant
+    const { router, service, account, target, charge, hint, lentBy } = grant
     const id = state.nextGrantId++
     const record: GrantRecord = { id, router, service, account, target, charged: charge, hint, grantedAtMs: nowMs, lentBy }
     state.grants.set(id, record)
     if (!lentBy) this.#takeSlot(nowMs, record)
     this.#pools.get(service).updateLocal(account, router, entry => entry.addGrant(id))
     this.#pools.addChange(service, account)
-    this.#effects.push({ type: 'grant', router, session: state.session, grant: { id, account, service, target, expiresInMs, lentBy } })
+    this.#effects.push({ type: 'grant', router, session: state.session, grant: { id, account, service, target, estimate: hint, lentBy } })
   }
 
   /** Takes over a grant that an earlier scheduler gave. */
   restore (nowMs: number, router: string, state: RouterState, held: RouterReport['held'][number]): void {
     const { id, service, account, target, charged, lentBy } = held
-    const record: GrantRecord = { id, router, service, account, target, charged, hint: 0, grantedAtMs: nowMs, lentBy }
+    const record: GrantRecord = { id, router, service, account, target, charged, grantedAtMs: nowMs, lentBy }
     state.nextGrantId = Math.max(state.nextGrantId, id + 1)
     state.grants.set(id, record)
     if (!lentBy) this.#takeSlot(nowMs, record)
@@ -80,13 +79,18 @@
     this.#pools.charge(record.service, record.account, -record.charged)
   }
 
+  /** The grant went to a request with another estimate than the one that was charged. */
+  setEstimate (state: RouterState, start: { id: number, estimate: number }): void {
+    const record = state.grants.get(start.id)
+    if (!record) return
+    record.hint = start.estimate
+    this.#setCharge(record, this.#pools.get(record.service).estimator.compute(record.account, start.estimate))
+  }
+
   recordProgress (state: RouterState, progress: { id: number, cost: number }): void {
     const record = state.grants.get(progress.id)
     if (!record || progress.cost <= record.charged) return
-    const more = progress.cost - record.charged
-    record.charged = progress.cost
-    if (record.lentBy) this.#lends.reportProgress(record.lentBy, progress.cost)
-    else this.#pools.charge(record.service, record.account, more)
+    this.#setCharge(record, progress.cost)
   }
 
   /** Frees what a router held that is gone. What its requests were charged so far counts as their cost. */
@@ -105,6 +109,13 @@
     return held
   }
 
+  #setCharge (record: GrantRecord, charge: number): void {
+    const more = charge - record.charged
+    record.charged = charge
+    if (record.lentBy) this.#lends.reportProgress(record.lentBy, charge)
+    else this.#pools.charge(record.service, record.account, more)
+  }
+
   #takeSlot (nowMs: number, record: GrantRecord): void {
     this.#pools.get(record.service).targets.take(record.target, nowMs)
     this.#pools.charge(record.service, record.account, record.charged)
--- a/src/schedule/_lib/GrantRecord/index.ts
+++ b/src/schedule/_lib/GrantRecord/index.ts
@@ -6,8 +6,8 @@
   account: string
   target: string
   charged: number
-  /** Estimate before correction; 0 if it is not known. */
-  hint: number
+  /** Estimate before correction, if it is known. */
+  hint?: number
   grantedAtMs: number
   /** Set if another zone lent the slot. That zone charges the account. */
   lentBy?: { zone: string, id: number }
--- a/src/schedule/_lib/LendBook/index.ts
+++ b/src/schedule/_lib/LendBook/index.ts
@@ -2,6 +2,7 @@
 import type { PeerOperation } from '../../PeerOperation'
 import type { SchedulerEffect } from '../../SchedulerEffect'
 import type { LentRecord } from '../LentRecord'
+import { AccountReporter } from '../AccountReporter'
 import { PeerRegistry } from '../PeerRegistry'
 import type { PeerState } from '../PeerState'
 import type { PoolSet } from '../PoolSet'
@@ -15,7 +16,6 @@
   account: string
   target: string
   charge: number
-  hint: number
 }
 
 interface ReceivedLend {
@@ -38,7 +38,7 @@
 
   constructor (options: { term: number, pools: PoolSet }) {
     this.#pools = options.pools
-    this.#peers = new PeerRegistry(options.term)
+    this.#peers = new PeerRegistry(() => new AccountReporter(options.pools))
     this.#term = options.term
   }
 
@@ -64,18 +64,21 @@
     return this.#peers.isLive(zone)
   }
 
-  handlePeer (nowMs: number, zone: string, instance: string, message: PeerMessage): void {
+  handlePeer (nowMs: number, zone: string, instance: string, message: PeerMessage): { isFull: boolean, needsFullReport: boolean } {
     const peer = this.#peers.observe(nowMs, zone, instance, message)
-    if (!peer) return
+    if (!peer) return { isFull: false, needsFullReport: false }
+    // Lend ids continue after those that the peer still holds from an earlier scheduler of this zone.
     const isFull = message.operations.some(operation => operation.type === 'full')
     if (isFull) this.#clearStale(nowMs, peer, message)
+    peer.isReported ||= isFull
     for (const operation of message.operations) this.#handleOperation(nowMs, peer, message, operation)
+    return { isFull, needsFullReport: peer.needsFullReport }
   }
 
   lend (nowMs: number, service: string, lend: NewLend): void {
     const peer = this.#peers.get(lend.zone)!
     const id = peer.nextLendId++
-    this.#addLent(nowMs, peer, { id, zone: lend.zone, service, account: lend.account, target: lend.target, charged: lend.charge, hint: lend.hint })
+    this.#addLent(nowMs, peer, { id, zone: lend.zone, service, account: lend.account, target: lend.target, charged: lend.charge })
     this.#pools.get(service).updateRemote(lend.account, lend.zone, entry => entry.addGrant(id))
     this.#send(lend.zone, { type: 'lend', id, service, account: lend.account, target: lend.target })
   }
@@ -92,7 +95,7 @@
     this.#send(lentBy.zone, { type: 'lendReturned', id: lentBy.id, cost, isHealthy })
   }
 
-  /** Tells the peers at once about accounts that became backlogged or idle here. */
+  /** Tells the peers at once about accounts that became backlogged here. */
   notifyPeers (): void {
     for (const [service, accounts] of this.#pools.takeChangedAccounts()) {
       for (const account of accounts) {
@@ -102,17 +105,30 @@
     }
   }
 
+  /** Most accounts that changed since the last exchange with a peer. */
+  countChanges (): number {
+    let most = 0
+    for (const peer of this.#peers.listLive()) {
+      let count = 0
+      for (const accounts of peer.changed.values()) count += accounts.size
+      most = Math.max(most, count)
+    }
+    return most
+  }
+
   /** Sends what changed since the last exchange, or everything to a peer that needs it. */
-  sendChanges (nowMs: number, held: Array<ReceivedLend & { cost: number }>): void {
+  sendChanges (nowMs: number, listHeld: () => Array<ReceivedLend & { cost: number }>): void {
     for (const peer of this.#peers.list()) {
-      if (peer.needsFullReport && !peer.isSilent) this.#sendFullReport(peer, held)
-      const isQuiet = peer.changed.size === 0 && nowMs - peer.lastSentAtMs >= PEER_HEARTBEAT_MS
+      const before = this.#effects.length
+      if (peer.needsFullReport && !peer.isSilent) this.#sendFullReport(peer, listHeld())
       for (const [service, accounts] of peer.changed) {
-        for (const account of accounts) this.#send(peer.zone, this.#createAccountOperation(service, account))
+        for (const account of accounts) this.#sendAccount(peer, service, account)
       }
-      if (isQuiet) this.#effects.push({ type: 'peer', zone: peer.zone })
-      if (isQuiet || peer.changed.size > 0) peer.lastSentAtMs = nowMs
       peer.changed.clear()
+      const isHeartbeatDue = nowMs - peer.lastSentAtMs >= PEER_HEARTBEAT_MS
+      if (this.#effects.length === before && !isHeartbeatDue) continue
+      if (this.#effects.length === before) this.#effects.push({ type: 'peer', zone: peer.zone })
+      peer.lastSentAtMs = nowMs
     }
   }
 
@@ -131,6 +147,7 @@
   #handleOperation (nowMs: number, peer: PeerState, message: PeerMessage, operation: PeerOperation): void {
     switch (operation.type) {
       case 'account': return this.#mergeAccount(peer, message.lastLendId, operation)
+      case 'usage': return this.#mergeUsage(peer, message.lastLendId, operation)
       case 'copy': return this.#pools.mergeLedger([{ ...operation, zone: this.#pools.zone, lift: 0 }])
       case 'held': return this.#restoreLent(nowMs, peer, operation)
       case 'lend': return this.#acceptLend(peer, message.echoedSession, operation)
@@ -141,9 +158,22 @@
   }
 
   #mergeAccount (peer: PeerState, lastLendId: number, copy: Extract<PeerOperation, { type: 'account' }>): void {
-    const { service, account, total, outstanding, waiting, lift } = copy
+    if (!peer.isReported) return
+    const { service, account, total, outstanding, waiting, lift, estimate } = copy
     const pool = this.#pools.get(service)
     pool.ledger.merge(account, { zone: peer.zone, total, outstanding, lift })
+    pool.updateRemote(account, peer.zone, entry => {
+      entry.estimate = estimate ?? entry.estimate
+      entry.report(waiting, lastLendId)
+    })
+    this.#pools.addServiceChange(service)
+  }
+
+  #mergeUsage (peer: PeerState, lastLendId: number, usage: Extract<PeerOperation, { type: 'usage' }>): void {
+    if (!peer.isReported) return
+    const { service, account, outstanding, waiting } = usage
+    const pool = this.#pools.get(service)
+    pool.ledger.merge(account, { zone: peer.zone, total: 0, lift: 0, outstanding })
     pool.updateRemote(account, peer.zone, entry => entry.report(waiting, lastLendId))
     this.#pools.addServiceChange(service)
   }
@@ -166,7 +196,7 @@
 
   #handleProgress (peer: PeerState, progress: { id: number, cost: number }): void {
     const record = peer.lent.get(progress.id)
-    if (!record || progress.cost <= record.charged) return
+    if (!record) return
     this.#pools.charge(record.service, record.account, progress.cost - record.charged)
     record.charged = progress.cost
   }
@@ -174,7 +204,7 @@
   #handleReturned (nowMs: number, peer: PeerState, result: { id: number, cost: number, isHealthy: boolean }): void {
     const record = takeLent(peer, result.id)
     if (!record) return
-    this.#pools.get(record.service).estimator.observe(record.account, { hint: record.hint, cost: result.cost })
+    this.#pools.get(record.service).estimator.observe(record.account, { cost: result.cost })
     this.#pools.get(record.service).targets.release(record.target, nowMs, result.isHealthy)
     this.#pools.settle(record.service, record.account, { charged: record.charged, cost: result.cost })
   }
@@ -196,8 +226,9 @@
 
   #restoreLent (nowMs: number, peer: PeerState, held: Extract<PeerOperation, { type: 'held' }>): void {
     if (peer.lent.has(held.id)) return
+    peer.nextLendId = Math.max(peer.nextLendId, held.id + 1)
     const { id, service, account, target, cost } = held
-    this.#addLent(nowMs, peer, { id, zone: peer.zone, service, account, target, charged: cost, hint: 0 })
+    this.#addLent(nowMs, peer, { id, zone: peer.zone, service, account, target, charged: cost })
   }
 
   #addLent (nowMs: number, peer: PeerState, record: LentRecord): void {
@@ -212,8 +243,10 @@
     if (isBacklogged === this.#announced.has(key)) return
     if (isBacklogged) this.#announced.add(key)
     else this.#announced.delete(key)
+    // A peer that lends to an account that is idle by now is refused, which costs less than a message for each end.
+    if (!isBacklogged) return
     for (const peer of this.#peers.listLive()) {
-      this.#send(peer.zone, this.#createAccountOperation(service, account))
+      this.#sendAccount(peer, service, account)
       peer.changed.get(service)?.delete(account)
     }
   }
@@ -221,11 +254,12 @@
   #sendFullReport (peer: PeerState, held: Array<ReceivedLend & { cost: number }>): void {
     peer.needsFullReport = false
     peer.changed.clear()
+    peer.reporter.clear()
     this.#send(peer.zone, { type: 'full' })
     for (const [service, pool] of this.#pools.listEntries()) {
-      for (const account of pool.ledger.listAccounts()) {
+      for (const account of pool.listAccounts()) {
         this.#send(peer.zone, { type: 'copy', service, account, total: pool.ledger.getCopy(account, peer.zone).total })
-        this.#send(peer.zone, this.#createAccountOperation(service, account))
+        this.#sendAccount(peer, service, account)
       }
     }
     for (const { zone, ...lend } of held) {
@@ -233,10 +267,9 @@
     }
   }
 
-  #createAccountOperation (service: string, account: string): PeerOperation {
-    const pool = this.#pools.get(service)
-    const { total, outstanding, lift } = pool.ledger.getCopy(account)
-    return { type: 'account', service, account, total, outstanding, lift, waiting: pool.countLocal(account) }
+  #sendAccount (peer: PeerState, service: string, account: string): void {
+    const operation = peer.reporter.createOperation(service, account)
+    if (operation) this.#send(peer.zone, operation)
   }
 
   #send (zone: string, operation: PeerOperation): void {
--- a/src/schedule/_lib/LentRecord/index.ts
+++ b/src/schedule/_lib/LentRecord/index.ts
@@ -6,5 +6,4 @@
   account: string
   target: string
   charged: number
-  hint: number
 }
--- a/src/schedule/_lib/PeerRegistry/index.ts
+++ b/src/schedule/_lib/PeerRegistry/index.ts
@@ -1,18 +1,17 @@
 import type { PeerMessage } from '../../PeerMessage'
+import type { AccountReporter } from '../AccountReporter'
 import type { PeerState } from '../PeerState'
 
 /** A peer that has not been heard for this time is left out. */
 const PEER_SILENCE_MS = 1_000
-/** Lend ids of one term stay below those of the next, so that a new scheduler does not reuse the ids of its predecessor. */
-const LENDS_PER_TERM = 1_000_000
 
 /** The schedulers of the other zones, as one scheduler knows them. */
 export class PeerRegistry {
-  readonly #term: number
+  readonly #createReporter: () => AccountReporter
   readonly #peers = new Map<string, PeerState>()
 
-  constructor (term: number) {
-    this.#term = term
+  constructor (createReporter: () => AccountReporter) {
+    this.#createReporter = createReporter
   }
 
   get (zone: string): PeerState | undefined {
@@ -41,7 +40,7 @@
     const peer = this.#peers.get(zone) ?? this.#add(nowMs, zone, instance, head.term)
     if (head.term < peer.term) return undefined
     if (head.term > peer.term || instance !== peer.instance) {
-      Object.assign(peer, { instance, term: head.term, session: 0, lastLendId: 0, needsFullReport: true })
+      Object.assign(peer, { instance, term: head.term, session: 0, lastLendId: 0, needsFullReport: true, isReported: false })
     }
     if (peer.isSilent || nowMs - peer.lastHeardAtMs > PEER_SILENCE_MS) {
       peer.ownSession++
@@ -80,9 +79,11 @@
       lastSentAtMs: -Infinity,
       isSilent: false,
       needsFullReport: true,
+      isReported: false,
       lastLendId: 0,
-      nextLendId: this.#term * LENDS_PER_TERM + 1,
+      nextLendId: 1,
       lent: new Map(),
+      reporter: this.#createReporter(),
       changed: new Map()
     }
     this.#peers.set(zone, peer)
--- a/src/schedule/_lib/PeerState/index.ts
+++ b/src/schedule/_lib/PeerState/index.ts
@@ -1,3 +1,4 @@
+import type { AccountReporter } from '../AccountReporter'
 import type { LentRecord } from '../LentRecord'
 
 /** What the scheduler knows about the scheduler of another zone. */
@@ -13,10 +14,13 @@
   lastSentAtMs: number
   isSilent: boolean
   needsFullReport: boolean
+  /** Whether the peer has sent a full report. Slots are lent only after that. */
+  isReported: boolean
   /** Newest slot that the peer lent. */
   lastLendId: number
   nextLendId: number
   lent: Map<number, LentRecord>
+  reporter: AccountReporter
   /** Accounts whose values changed since the last exchange, by service. */
   changed: Map<string, Set<string>>
 }
--- a/src/schedule/_lib/WaitingQueue/index.ts
+++ b/src/schedule/_lib/WaitingQueue/index.ts
@@ -13,6 +13,7 @@
   entries: Map<string, WaitingRequest>
   /** Head that the scheduler was told about. */
   reportedHead?: WaitingRequest
+  estimateSum: number
 }
 
 /** The waiting requests of a router by account and service, and which of these counts the scheduler has to be told. */
@@ -34,9 +35,10 @@
   add (entry: WaitingRequest): void {
     const { account, service } = entry.request
     const key = WaitingQueue.getFlow(entry.request)
-    const flow = this.#flows.get(key) ?? { account, service, entries: new Map() }
+    const flow = this.#flows.get(key) ?? { account, service, entries: new Map(), estimateSum: 0 }
     this.#flows.set(key, flow)
     flow.entries.set(entry.id, entry)
+    flow.estimateSum += entry.request.estimate
     this.#countByAccount.set(account, this.countOf(account) + 1)
     this.#changed.add(key)
   }
@@ -62,7 +64,7 @@
     entry.grant = grant
     this.#removeEntry(key, entry)
     const flow = this.#flows.get(key)
-    // The scheduler counts its own grants, so only a head that differs from the one it knows is news.
+    // The scheduler counts its own grants, so only a head with other wishes than the one it knows is news.
     if (flow && !isAlike(getHead(flow).request, flow.reportedHead?.request)) this.#changed.add(key)
     return this.queue.dequeueFrom(key, id => id === entry.id)
   }
@@ -92,6 +94,7 @@
   #removeEntry (key: string, entry: WaitingRequest): void {
     const flow = this.#flows.get(key)!
     flow.entries.delete(entry.id)
+    flow.estimateSum -= entry.request.estimate
     if (flow.entries.size === 0) this.#flows.delete(key)
     const count = this.countOf(flow.account) - 1
     if (count > 0) this.#countByAccount.set(flow.account, count)
@@ -107,7 +110,8 @@
     const { account, service, entries } = flow
     const head = getHead(flow)
     flow.reportedHead = head
-    const { estimate, prefixHash } = head.request
+    const { prefixHash } = head.request
+    const estimate = flow.estimateSum / entries.size
     return { type: 'backlog', account, service, waiting: entries.size, estimate, prefixHash, excluded: listExcluded(flow) }
   }
 }
@@ -118,7 +122,7 @@
 }
 
 function isAlike (a: AdmissionRequest, b: AdmissionRequest | undefined): boolean {
-  return b !== undefined && a.estimate === b.estimate && a.prefixHash === b.prefixHash && a.excludedTargets?.size === b.excludedTargets?.size
+  return b !== undefined && a.prefixHash === b.prefixHash && a.excludedTargets?.size === b.excludedTargets?.size
 }
 
 /** Targets that none of the requests may use. */
--- a/src/schedule/decodeGrants/index.ts
+++ b/src/schedule/decodeGrants/index.ts
@@ -5,15 +5,15 @@
 type WireOperation = GrantBatchMessage[1][number]
 
 function decodeGrant (wire: Exclude<WireOperation, [0, ...unknown[]]>, names: NameDecoder): GrantOperation {
-  const [code, id, account, service, target, expiresInMs] = wire
-  const grant = { id, account: names.get(account), service: names.get(service), target: names.get(target), expiresInMs }
+  const [code, id, account, service, target, estimate] = wire
+  const grant = { id, account: names.get(account), service: names.get(service), target: names.get(target), estimate }
   return code === 1 ? { ...grant, afterId: wire[6] } : { ...grant, lentBy: { zone: names.get(wire[6]), id: wire[7] } }
 }
 
 /**
  * @name decodeGrants
  * @category Schedule
- * @summary The grants in a `grant` message.
+ * @summary The grants in a `g` message.
  *
  * @param body - Body of the message.
  * @param names - Names that the scheduler defined on the connection.
--- a/src/schedule/decodeHeartbeat/index.ts
+++ b/src/schedule/decodeHeartbeat/index.ts
@@ -5,7 +5,7 @@
 /**
  * @name decodeHeartbeat
  * @category Schedule
- * @summary The content of a `zoneHeartbeat` message.
+ * @summary The content of a `h` message.
  *
  * @param body - Body of the message.
  * @param names - Names that the scheduler defined on the connection.
--- a/src/schedule/decodePeerMessage/index.ts
+++ b/src/schedule/decodePeerMessage/index.ts
@@ -7,13 +7,14 @@
 
 function decodeOperation (wire: Exclude<WireOperation, [0, ...unknown[]]>, names: NameDecoder): PeerOperation {
   switch (wire[0]) {
-    case 1: return { type: 'account', service: names.get(wire[1]), account: names.get(wire[2]), total: wire[3], outstanding: wire[4], waiting: wire[5], lift: wire[6] }
+    case 1: return { type: 'account', service: names.get(wire[1]), account: names.get(wire[2]), total: wire[3], outstanding: wire[4], waiting: wire[5], lift: wire[6], estimate: wire[7] }
     case 2: return { type: 'lend', id: wire[1], service: names.get(wire[2]), account: names.get(wire[3]), target: names.get(wire[4]) }
     case 3: return { type: 'lendDeclined', id: wire[1] }
     case 4: return { type: 'lendReturned', id: wire[1], cost: wire[2], isHealthy: wire[3] !== 1 }
     case 5: return { type: 'lendProgress', id: wire[1], cost: wire[2] }
     case 6: return { type: 'full' }
     case 7: return { type: 'held', id: wire[1], service: names.get(wire[2]), account: names.get(wire[3]), target: names.get(wire[4]), cost: wire[5] }
+    case 9: return { type: 'usage', service: names.get(wire[1]), account: names.get(wire[2]), outstanding: wire[3], waiting: wire[4] }
     case 8: return { type: 'copy', service: names.get(wire[1]), account: names.get(wire[2]), total: wire[3] }
   }
 }
@@ -21,7 +22,7 @@
 /**
  * @name decodePeerMessage
  * @category Schedule
- * @summary The message between schedulers in an `exchange` message.
+ * @summary The message between schedulers in an `x` message.
  *
  * @param body - Body of the message.
  * @param names - Names that the peer defined on the connection.
--- a/src/schedule/decodeRouterBatch/index.ts
+++ b/src/schedule/decodeRouterBatch/index.ts
@@ -18,6 +18,7 @@
     }
     case 2: return { type: 'release', id: wire[1], cost: wire[2], isHealthy: wire[3] !== 1 }
     case 3: return { type: 'decline', id: wire[1] }
+    case 5: return { type: 'start', id: wire[1], estimate: wire[2] }
     case 4: return { type: 'progress', id: wire[1], cost: wire[2] }
   }
 }
@@ -25,7 +26,7 @@
 /**
  * @name decodeRouterBatch
  * @category Schedule
- * @summary The batch in a `queue` message.
+ * @summary The batch in a `q` message.
  *
  * @param body - Body of the message.
  * @param names - Names that the router defined on the connection.
--- a/src/schedule/encodeHeartbeat/index.ts
+++ b/src/schedule/encodeHeartbeat/index.ts
@@ -10,10 +10,10 @@
  *
  * @param heartbeat - Term, whether the scheduler leaves, ledger entries that changed.
  * @param names - Numbers of names on the connection.
- * @returns Body of a `zoneHeartbeat` message.
+ * @returns Body of a `h` message.
  *
  * @example
- * link.send('zoneHeartbeat', encodeHeartbeat({ term: 1, isLeaving: false, ledger: [] }, names))
+ * link.send('h', encodeHeartbeat({ term: 1, isLeaving: false, ledger: [] }, names))
  */
 export function encodeHeartbeat (heartbeat: { term: number, isLeaving: boolean, ledger: RouterReport['ledger'] }, names: NameEncoder): ZoneHeartbeatMessage {
   const entries = heartbeat.ledger.map(({ service, account, zone, total, lift }): ZoneHeartbeatMessage[2][number] =>
--- a/src/schedule/encodePeerMessage/index.ts
+++ b/src/schedule/encodePeerMessage/index.ts
@@ -6,11 +6,20 @@
 
 type WireOperation = ExchangeMessage[4][number]
 
+function encodeAccount (operation: Extract<PeerOperation, { type: 'account' }>, names: NameEncoder): WireOperation {
+  const { service, account, total, outstanding, waiting, lift, estimate } = operation
+  const costs = [total, outstanding, lift].map(cost => convertCost(cost))
+  const wire: WireOperation = [1, names.getNumber(service), names.getNumber(account), costs[0], costs[1], waiting, costs[2]]
+  if (estimate !== undefined) wire.push(convertCost(estimate))
+  return wire
+}
+
 function encodeOperation (operation: PeerOperation, names: NameEncoder): WireOperation {
   const getNumber = (name: string): number => names.getNumber(name)
   switch (operation.type) {
     case 'full': return [6]
-    case 'account': return [1, getNumber(operation.service), getNumber(operation.account), convertCost(operation.total), convertCost(operation.outstanding), operation.waiting, convertCost(operation.lift)]
+    case 'account': return encodeAccount(operation, names)
+    case 'usage': return [9, getNumber(operation.service), getNumber(operation.account), convertCost(operation.outstanding), operation.waiting]
     case 'copy': return [8, getNumber(operation.service), getNumber(operation.account), convertCost(operation.total)]
     case 'held': return [7, operation.id, getNumber(operation.service), getNumber(operation.account), getNumber(operation.target), convertCost(operation.cost)]
     case 'lend': return [2, operation.id, getNumber(operation.service), getNumber(operation.account), getNumber(operation.target)]
@@ -27,10 +36,10 @@
  *
  * @param message - The message.
  * @param names - Numbers of names on the connection.
- * @returns Body of an `exchange` message.
+ * @returns Body of an `x` message.
  *
  * @example
- * link.send('exchange', encodePeerMessage(message, names))
+ * link.send('x', encodePeerMessage(message, names))
  */
 export function encodePeerMessage (message: PeerMessage, names: NameEncoder): ExchangeMessage {
   const { term, session, echoedSession, lastLendId } = message
--- a/src/schedule/encodeRouterBatch/index.ts
+++ b/src/schedule/encodeRouterBatch/index.ts
@@ -19,6 +19,7 @@
     case 'backlog': return encodeBacklog(operation, names)
     case 'release': return operation.isHealthy ? [2, operation.id, convertCost(operation.cost)] : [2, operation.id, convertCost(operation.cost), 1]
     case 'decline': return [3, operation.id]
+    case 'start': return [5, operation.id, convertCost(operation.estimate)]
     case 'progress': return [4, operation.id, convertCost(operation.cost)]
   }
 }
@@ -30,10 +31,10 @@
  *
  * @param batch - The batch.
  * @param names - Numbers of names on the connection.
- * @returns Body of a `queue` message.
+ * @returns Body of a `q` message.
  *
  * @example
- * link.send('queue', encodeRouterBatch(batch, names))
+ * link.send('q', encodeRouterBatch(batch, names))
  */
 export function encodeRouterBatch (batch: RouterBatch, names: NameEncoder): RouterBatchMessage {
   const operations = batch.operations.map(operation => encodeOperation(operation, names))
