--- a/src/instance/_lib/PeerLinks/index.ts
+++ b/src/instance/_lib/PeerLinks/index.ts
@@ -76,6 +76,7 @@
   }
 
   #handleLink (instance: string, link: Link): void {
+    this.#options.linkOptions.onLink?.(link)
     const connection = this.#connections.get(instance)
     if (connection) connection.names = new NameEncoder()
     link.onClose(() => this.#options.onDown(instance))
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -1,16 +1,17 @@
 import { randomUUID } from 'node:crypto'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import type { RouterSettings } from '../../contract/RouterSettings'
-import { LifecycleManager } from '../../lifecycle/LifecycleManager'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
 import { TargetClient } from '../../target/TargetClient'
-import { createLogger } from '../../telemetry/createLogger'
-import { createPartLogger } from '../../telemetry/createPartLogger'
 import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
+import { createTelemetry } from '../_lib/createTelemetry'
 import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
+import { observeCalls } from '../observeCalls'
+import { registerRouterReadings } from '../registerRouterReadings'
+import { sendMetrics } from '../sendMetrics'
 import { startHttpServer } from '../startHttpServer'
 
 interface RunningRouter {
@@ -33,9 +34,8 @@
  * await router.close()
  */
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
-  const processLogger = createLogger({ instance: settings.instance, level: settings.logLevel })
-  const logger = createPartLogger(processLogger, 'router')
-  const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
+  const telemetry = createTelemetry(settings, 'router')
+  const { logger, lifecycle, metrics, observer } = telemetry
   const directory = createPeerDirectory(settings, logger, lifecycle)
   const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
   const handlers = new Map(configuration.handlers)
@@ -43,6 +43,7 @@
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
     handlers,
+    onLink: link => telemetry.traffic.add(link),
     onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message })
   }
   const links = new LinkServer(linkOptions)
@@ -51,14 +52,18 @@
   configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, logger: createPartLogger(processLogger, 'schedule') })
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, logger: telemetry.createLogger('schedule') })
   const calls = new CallHandler({ view, gate, targets, maxBodyBytes: settings.maxBodyBytes })
+  registerRouterReadings(metrics, { view, gate })
+  const handleCompletion = observeCalls(observer, (request, response, observation) => calls.handleCompletion(request, response, observation))
+  const handleService = observeCalls(observer, (request, response, observation) => calls.handleService(request, response, observation))
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503).end() } },
-    { method: 'post', path: '/v1/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'post', path: '/v1/chat/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'all', path: '/services/*', handler: (request, response) => calls.handleService(request, response) }
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
+    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
+    { method: 'post', path: '/v1/completions', handler: handleCompletion },
+    { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
+    { method: 'all', path: '/services/*', handler: handleService }
   ])
   lifecycle.register('callers', () => new Promise<void>(resolve => {
     server.close(() => resolve())
