--- a/src/schedule/FleetAdmissionGate/index.ts
+++ b/src/schedule/FleetAdmissionGate/index.ts
@@ -137,7 +137,7 @@
 
   #enqueue (request: AdmissionRequest, caller: { resolve: (slot: Slot) => void, reject: (error: AppError) => void }): void {
     const id = `${this.#nextRequestId++}`
-    const timer = setTimeout(() => cancel(new AppError('deadline-exceeded', 'The deadline passed in the queue.')), Math.min(request.deadlineAtMs - performance.now(), MAX_TIMER_MS))
+    const timer = setTimeout(() => cancel(new AppError('deadline-exceeded', 'The deadline passed in the queue.')), Math.min(request.deadlineAtMs - performance.now(), MAX_TIMER_MS)).unref()
     const handleAbort = (): void => cancel(new AppError('caller-gone', 'The caller left the queue.', { outcome: 'not-run' }))
     const clear = (): void => {
       clearTimeout(timer)
--- a/src/schedule/TargetPool/index.ts
+++ b/src/schedule/TargetPool/index.ts
@@ -46,6 +46,8 @@
   readonly #options: TargetPoolOptions
   readonly #targets = new Map<string, TargetState>()
   readonly #free = new IndexedHeap<string>()
+  /** Time of the last tick. */
+  #nowMs = 0
 
   constructor (options: TargetPoolOptions) {
     this.#options = options
@@ -64,11 +66,13 @@
       const state = this.#targets.get(name)
       if (state) state.limit.setSlots(slots)
       else this.#targets.set(name, { limit: new ConcurrencyLimit({ slots }), inUse: 0, failures: 0, blockedUntilMs: 0 })
+      this.#update(name, this.#nowMs)
     }
   }
 
   /** Brings the list of free targets up to date with drains, blocks and limits. */
   tick (nowMs: number): void {
+    this.#nowMs = nowMs
     for (const name of this.#targets.keys()) this.#update(name, nowMs)
   }
 
--- a/src/schedule/ZoneScheduler/index.ts
+++ b/src/schedule/ZoneScheduler/index.ts
@@ -125,7 +125,10 @@
   }
 
   * tick (nowMs: number): Generator<SchedulerEffect> {
-    for (const pool of this.#pools.list()) pool.targets.tick(nowMs)
+    for (const [service, pool] of this.#pools.listEntries()) {
+      pool.targets.tick(nowMs)
+      this.#pools.addServiceChange(service)
+    }
     for (const [router, state] of this.#routers) {
       if (nowMs - state.lastHeardAtMs > ROUTER_TIMEOUT_MS) yield * this.removeRouter(nowMs, router)
     }
