--- a/src/command/StandInCommand/index.ts
+++ b/src/command/StandInCommand/index.ts
@@ -1,14 +1,29 @@
 import { Args, Command, Flags } from '@oclif/core'
+import type { ListenAddress } from '../../contract/ListenAddress'
+import { BookingSettings } from '../../standIn/BookingSettings'
 import { EngineSettings } from '../../standIn/EngineSettings'
+import { PlatformSettings } from '../../standIn/PlatformSettings'
 import { startBooking } from '../../standIn/startBooking'
 import { startEngine } from '../../standIn/startEngine'
+import { startPlatform } from '../../standIn/startPlatform'
 import { runUntilSignal } from '../runUntilSignal'
 
+interface RunningStandIn {
+  address: ListenAddress
+  close: () => Promise<void>
+}
+
+const STARTERS: Record<string, (address: ListenAddress, options: unknown) => Promise<RunningStandIn>> = {
+  engine: (address, options) => startEngine(address, EngineSettings.parse(options)),
+  booking: (address, options) => startBooking(address, BookingSettings.parse(options)),
+  platform: (address, options) => startPlatform(address, PlatformSettings.parse(options))
+}
+
 /** `papayalead stand-in`: runs a stand-in of an outside system, for development. */
 export class StandInCommand extends Command {
   static override id = 'stand-in'
   static override description = 'Run a stand-in of an outside system (development only).'
-  static override args = { kind: Args.string({ required: true, options: ['engine', 'booking'] }) }
+  static override args = { kind: Args.string({ required: true, options: Object.keys(STARTERS) }) }
   static override flags = {
     host: Flags.string({ default: '127.0.0.1' }),
     port: Flags.integer({ default: 0 }),
@@ -17,10 +32,7 @@
 
   async run (): Promise<void> {
     const { args, flags } = await this.parse(StandInCommand)
-    const address = { host: flags.host, port: flags.port }
-    const running = args.kind === 'engine'
-      ? await startEngine(address, EngineSettings.parse(JSON.parse(flags.options)))
-      : await startBooking(address)
+    const running = await STARTERS[args.kind]({ host: flags.host, port: flags.port }, JSON.parse(flags.options))
     this.log(JSON.stringify({ http: running.address }))
     await runUntilSignal(() => running.close())
   }
--- /dev/null
+++ b/src/standIn/CacheEventLog/index.ts
@@ -0,0 +1,49 @@
+const MAX_EVENTS = 10_000
+
+interface CacheEvent {
+  seq: number
+  kind: 'stored' | 'evicted'
+  prefixHash: number
+}
+
+interface CacheEventLogOptions {
+  /** `gapRate`: probability that an event is left out; its sequence number is used up. */
+  getFaults: () => { lagMs: number, gapRate: number }
+  random: () => number
+}
+
+/**
+ * @name CacheEventLog
+ * @category Stand-in
+ * @summary Events of an engine's prefix cache, published late and with gaps.
+ *
+ * @param options - Lag, gaps and random numbers.
+ *
+ * @example
+ * const log = new CacheEventLog({ getFaults: () => ({ lagMs: 0, gapRate: 0 }), random: Math.random })
+ * log.append('stored', 7, 1000)
+ * log.list(0, 1000) // [{ seq: 1, kind: 'stored', prefixHash: 7 }]
+ */
+export class CacheEventLog {
+  readonly #options: CacheEventLogOptions
+  readonly #events: Array<CacheEvent & { atMs: number }> = []
+  #lastSeq = 0
+
+  constructor (options: CacheEventLogOptions) {
+    this.#options = options
+  }
+
+  append (kind: CacheEvent['kind'], prefixHash: number, atMs: number): void {
+    this.#lastSeq++
+    if (this.#options.random() < this.#options.getFaults().gapRate) return
+    this.#events.push({ seq: this.#lastSeq, kind, prefixHash, atMs })
+    if (this.#events.length > MAX_EVENTS) this.#events.shift()
+  }
+
+  list (afterSeq: number, nowMs: number): CacheEvent[] {
+    const { lagMs } = this.#options.getFaults()
+    return this.#events
+      .filter(({ seq, atMs }) => seq > afterSeq && atMs <= nowMs - lagMs)
+      .map(({ seq, kind, prefixHash }) => ({ seq, kind, prefixHash }))
+  }
+}
--- /dev/null
+++ b/src/standIn/LaggingValue/index.ts
@@ -0,0 +1,29 @@
+/**
+ * @name LaggingValue
+ * @category Stand-in
+ * @summary A value that is read as it was some time ago.
+ *
+ * @param initial - The value before the first change.
+ *
+ * @example
+ * const value = new LaggingValue(0)
+ * value.set(1, 1000)
+ * value.get(1050, 100) // 0: the value at 950 ms
+ */
+export class LaggingValue<T> {
+  #past: T
+  readonly #changes: Array<{ value: T, atMs: number }> = []
+
+  constructor (initial: T) {
+    this.#past = initial
+  }
+
+  set (value: T, atMs: number): void {
+    this.#changes.push({ value, atMs })
+  }
+
+  get (nowMs: number, lagMs: number): T {
+    while (this.#changes.length > 0 && this.#changes[0].atMs <= nowMs - lagMs) this.#past = this.#changes.shift()!.value
+    return this.#past
+  }
+}
--- a/src/standIn/startBooking/index.ts
+++ b/src/standIn/startBooking/index.ts
@@ -1,9 +1,28 @@
+import type { ServerResponse } from 'node:http'
+import { setTimeout as wait } from 'node:timers/promises'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import { parseJsonBody } from '../../instance/parseJsonBody'
 import { readBody } from '../../instance/readBody'
 import { startHttpServer } from '../../instance/startHttpServer'
+import { createClose } from '../_lib/createClose'
+import { createRandom } from '../_lib/createRandom'
+import { sendJson } from '../_lib/sendJson'
+import { BookingSettings } from '../BookingSettings'
 
 const MAX_BODY_BYTES = 1024 * 1024
+const FAULTS = ['late', 'never', 'resetBefore', 'resetAfter', 'truncate'] as const
+
+type Fault = typeof FAULTS[number] | 'none'
+
+interface BookingRun {
+  id: number
+  idempotencyKey: string | null
+  requestId: string | null
+  body: unknown
+  fault: Fault
+  /** Wall-clock milliseconds since the epoch at which it ran. */
+  atMs: number
+}
 
 interface RunningBooking {
   address: ListenAddress
@@ -16,33 +35,87 @@
  * @summary Stand-in of a booking service that records each booking that it runs.
  *
  * @description
- * `POST /bookings` runs a booking, `GET /bookings/<id>` reads one, `GET /record` lists all runs in order, so that a
- * booking that ran twice is seen.
+ * `POST /bookings` runs a booking and `GET /bookings/<id>` reads one. `GET /record` lists all runs in order with their
+ * idempotency keys, so that a booking that ran twice is seen. The service itself ignores the key, as a plain service
+ * does. `PUT /options` changes its behaviour while it runs. `x-request-id` is echoed.
  *
  * @param address - Where to listen.
+ * @param initial - Behaviour.
  * @returns The bound address and a function that stops it.
  *
  * @example
- * const booking = await startBooking({ host: '127.0.0.1', port: 0 })
+ * const booking = await startBooking({ host: '127.0.0.1', port: 0 }, BookingSettings.parse({}))
  */
-export async function startBooking (address: ListenAddress): Promise<RunningBooking> {
-  const runs: unknown[] = []
+export async function startBooking (address: ListenAddress, initial: BookingSettings): Promise<RunningBooking> {
+  const runs: BookingRun[] = []
+  const random = createRandom(initial.seed)
+  let settings = initial
   const { address: bound, server } = await startHttpServer(address, [
-    { method: 'get', path: '/health', handler: (_request, response) => { response.end('{"status":"ok"}') } },
-    { method: 'get', path: '/record', handler: (_request, response) => { response.end(JSON.stringify(runs)) } },
-    { method: 'get', path: '/bookings/:id', handler: (request, response) => { response.end(JSON.stringify(runs[Number(request.params.id)] ?? null)) } },
+    { method: 'get', path: '/health', handler: (_request, response) => sendJson(response, { status: settings.health }) },
+    { method: 'get', path: '/record', handler: (_request, response) => sendJson(response, runs) },
+    {
+      method: 'put',
+      path: '/options',
+      handler: async (request, response) => {
+        settings = BookingSettings.parse({ ...settings, ...parseJsonBody(await readBody(request, { maxBytes: MAX_BODY_BYTES })) as object })
+        sendJson(response, settings)
+      }
+    },
+    {
+      method: 'get',
+      path: '/bookings/:id',
+      handler: async (request, response) => {
+        if (settings.runMs > 0) await wait(settings.runMs)
+        sendRequestId(request.headers, response)
+        const run = runs.at(Number(request.params.id))
+        sendJson(response, run ? { id: run.id, ...Object(run.body) } : { error: 'There is no such booking.' }, run ? 200 : 404)
+      }
+    },
     {
       method: 'post',
       path: '/bookings',
       handler: async (request, response) => {
-        runs.push(parseJsonBody(await readBody(request, { maxBytes: MAX_BODY_BYTES })))
-        response.writeHead(201, { 'content-type': 'application/json' }).end(JSON.stringify({ id: runs.length - 1 }))
+        const body = parseJsonBody(await readBody(request, { maxBytes: MAX_BODY_BYTES }))
+        const fault = chooseFault(settings, random)
+        if (fault === 'resetBefore') return response.socket?.resetAndDestroy() && undefined
+        if (settings.runMs > 0) await wait(settings.runMs)
+        const id = runs.length
+        const { 'idempotency-key': key, 'x-request-id': requestId } = request.headers
+        runs.push({ id, idempotencyKey: key ? String(key) : null, requestId: requestId ? String(requestId) : null, body, fault, atMs: Date.now() })
+        sendRequestId(request.headers, response)
+        await sendAnswer(response, { id, ...Object(body) }, fault, settings.lateMs)
       }
     }
   ])
-  const close = (): Promise<void> => new Promise(resolve => {
-    server.close(() => resolve())
-    server.closeAllConnections()
-  })
-  return { address: bound, close }
+  return { address: bound, close: createClose(server) }
+}
+
+function sendRequestId (headers: Record<string, unknown>, response: ServerResponse): void {
+  if (headers['x-request-id'] !== undefined) response.setHeader('x-request-id', String(headers['x-request-id']))
+}
+
+/** One draw decides, so that the same seed gives the same faults whatever the rates of others are. */
+function chooseFault (settings: BookingSettings, random: () => number): Fault {
+  let draw = random()
+  for (const fault of FAULTS) {
+    draw -= settings[`${fault}Rate`]
+    if (draw < 0) return fault
+  }
+  return 'none'
+}
+
+async function sendAnswer (response: ServerResponse, answer: object, fault: Fault, lateMs: number): Promise<void> {
+  if (fault === 'never') return
+  if (fault === 'resetAfter') {
+    response.socket?.resetAndDestroy()
+    return
+  }
+  if (fault === 'truncate') {
+    const body = JSON.stringify(answer)
+    response.writeHead(201, { 'content-type': 'application/json', 'content-length': body.length })
+    response.write(body.slice(0, body.length / 2), () => response.destroy())
+    return
+  }
+  if (fault === 'late') await wait(lateMs)
+  sendJson(response, answer, 201)
 }
--- a/src/standIn/startEngine/index.ts
+++ b/src/standIn/startEngine/index.ts
@@ -1,16 +1,28 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { setTimeout as wait } from 'node:timers/promises'
-import PQueue from 'p-queue'
+import xxhash from 'xxhash-wasm'
 import { z } from 'zod'
 import type { ListenAddress } from '../../contract/ListenAddress'
+import { TargetAction } from '../../contract/TargetAction'
 import { parseJsonBody } from '../../instance/parseJsonBody'
 import { readBody } from '../../instance/readBody'
 import { startHttpServer } from '../../instance/startHttpServer'
-import type { EngineSettings } from '../EngineSettings'
+import { CompletionRequest } from '../_lib/CompletionRequest'
+import { createClose } from '../_lib/createClose'
+import { createCompletionFormat } from '../_lib/createCompletionFormat'
+import { createRandom } from '../_lib/createRandom'
+import { sendJson } from '../_lib/sendJson'
+import { CacheEventLog } from '../CacheEventLog'
+import { CommandGate } from '../CommandGate'
+import { createToken } from '../createToken'
+import { EngineBatch } from '../EngineBatch'
+import { EngineRecord } from '../EngineRecord'
+import { EngineSettings } from '../EngineSettings'
+import { LaggingValue } from '../LaggingValue'
+import { PrefixCache } from '../PrefixCache'
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024
-const DEFAULT_MAX_TOKENS = 16
-const CompletionRequest = z.object({ model: z.string(), stream: z.boolean().default(false), max_tokens: z.number().int().positive().default(DEFAULT_MAX_TOKENS) })
+const CHARS_PER_TOKEN = 4
+const TargetCommand = z.object({ id: z.string(), action: TargetAction, fencingToken: z.number().int().nonnegative() })
 
 interface RunningEngine {
   address: ListenAddress
@@ -20,47 +32,154 @@
 /**
  * @name startEngine
  * @category Stand-in
- * @summary Stand-in of an inference engine with an OpenAI-compatible completions API.
+ * @summary Stand-in of an inference engine with an OpenAI-compatible API.
+ *
+ * @description
+ * `POST /v1/completions` and `/v1/chat/completions` run a request in a continuous batch; it is cancelled when the
+ * connection closes. `resume_from` in the body continues after so many tokens. `GET /load`, `GET /cache-events?after=<seq>`
+ * and `GET /health` report its state, `POST /commands` takes commands with a fencing token, `GET /record` lists what it
+ * ran, and `PUT /options` changes its behaviour while it runs (but not seed, size of the cache, models or fencing). `x-request-id` is echoed. A prefix is identified by the
+ * xxHash32 (seed 0) of the first `prefixChars` characters of the prompt; the prompt of a chat is its messages' contents,
+ * joined by line feeds.
  *
  * @param address - Where to listen.
- * @param settings - Behaviour.
+ * @param initial - Behaviour.
  * @returns The bound address and a function that stops it.
  *
  * @example
  * const engine = await startEngine({ host: '127.0.0.1', port: 0 }, EngineSettings.parse({}))
  */
-export async function startEngine (address: ListenAddress, settings: EngineSettings): Promise<RunningEngine> {
-  const batch = new PQueue({ concurrency: settings.maxBatch })
-  const handleCompletion = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    const body = CompletionRequest.parse(parseJsonBody(await readBody(request, { maxBytes: MAX_BODY_BYTES })))
-    await batch.add(() => sendCompletion(response, body, settings))
-  }
+export async function startEngine (address: ListenAddress, initial: EngineSettings): Promise<RunningEngine> {
+  const engine = new Engine(initial, (await xxhash()).h32)
   const { address: bound, server } = await startHttpServer(address, [
-    { method: 'get', path: '/health', handler: (_request, response) => { response.end('{"status":"ok"}') } },
-    { method: 'get', path: '/load', handler: (_request, response) => { response.end(JSON.stringify({ running: batch.pending, waiting: batch.size })) } },
-    { method: 'post', path: '/v1/completions', handler: handleCompletion },
-    { method: 'post', path: '/v1/chat/completions', handler: handleCompletion }
+    { method: 'get', path: '/health', handler: (_request, response) => sendJson(response, { status: engine.settings.health }) },
+    { method: 'get', path: '/load', handler: (_request, response) => sendJson(response, engine.getLoad()) },
+    { method: 'get', path: '/record', handler: (_request, response) => sendJson(response, engine.record.convertToJson()) },
+    {
+      method: 'get',
+      path: '/cache-events',
+      handler: (request, response) => sendJson(response, { events: engine.events.list(Number(request.query.after ?? 0), performance.now()) })
+    },
+    {
+      method: 'put',
+      path: '/options',
+      handler: async (request, response) => {
+        const changes = parseJsonBody(await readBody(request, { maxBytes: MAX_BODY_BYTES })) as object
+        engine.settings = EngineSettings.parse({ ...engine.settings, ...changes })
+        sendJson(response, engine.settings)
+      }
+    },
+    { method: 'post', path: '/commands', handler: (request, response) => engine.handleCommand(request, response) },
+    { method: 'post', path: '/v1/completions', handler: (request, response) => engine.handleCompletion(request, response) },
+    { method: 'post', path: '/v1/chat/completions', handler: (request, response) => engine.handleCompletion(request, response) }
   ])
-  const close = (): Promise<void> => new Promise(resolve => {
-    server.close(() => resolve())
-    server.closeAllConnections()
-  })
-  return { address: bound, close }
+  return { address: bound, close: createClose(server) }
 }
 
-async function sendCompletion (response: ServerResponse, body: z.infer<typeof CompletionRequest>, settings: EngineSettings): Promise<void> {
-  await wait(settings.firstTokenMs)
-  const usage = { completion_tokens: body.max_tokens }
-  if (!body.stream) {
-    await wait(settings.tokenMs * body.max_tokens)
-    response.setHeader('content-type', 'application/json')
-    response.end(JSON.stringify({ model: body.model, choices: [{ index: 0, text: 'token '.repeat(body.max_tokens), finish_reason: 'stop' }], usage }))
-    return
+class Engine {
+  settings: EngineSettings
+  readonly record = new EngineRecord()
+  readonly events: CacheEventLog
+  readonly #hash: (text: string) => number
+  readonly #random: () => number
+  readonly #load = new LaggingValue({ running: 0, waiting: 0 })
+  readonly #cache: PrefixCache
+  readonly #batch: EngineBatch
+  readonly #gate: CommandGate
+  readonly #models: Set<string>
+  #role = 'both'
+
+  constructor (settings: EngineSettings, hash: (text: string) => number) {
+    this.settings = settings
+    this.#hash = hash
+    this.#random = createRandom(settings.seed)
+    this.events = new CacheEventLog({ getFaults: () => ({ lagMs: this.settings.cacheEventLagMs, gapRate: this.settings.cacheEventGapRate }), random: this.#random })
+    this.#cache = new PrefixCache(settings.prefixCacheSize, (kind, prefixHash) => this.events.append(kind, prefixHash, performance.now()))
+    this.#batch = new EngineBatch({ getSpeed: () => this.settings, onChange: load => this.#load.set(load, performance.now()) })
+    this.#gate = new CommandGate(settings.isFencingChecked)
+    this.#models = new Set(settings.models)
+  }
+
+  getLoad (): { running: number, waiting: number } {
+    return this.#load.get(performance.now(), this.settings.loadLagMs)
+  }
+
+  async handleCompletion (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const parsed = CompletionRequest.safeParse(parseJsonBody(await readBody(request, { maxBytes: MAX_BODY_BYTES })))
+    const requestId = request.headers['x-request-id']
+    if (requestId !== undefined) response.setHeader('x-request-id', requestId)
+    if (!parsed.success) return sendJson(response, { error: { message: parsed.error.message } }, 400)
+    const body = parsed.data
+    if (this.#models.size > 0 && !this.#models.has(body.model)) return sendJson(response, { error: { message: `The model ${body.model} is not loaded.` } }, 404)
+    const prompt = body.messages.length > 0 ? body.messages.map(({ content }) => content).join('\n') : body.prompt
+    this.#run(response, body, { prompt, path: request.url ?? '/', requestId: requestId === undefined ? null : String(requestId) })
   }
-  response.setHeader('content-type', 'text/event-stream')
-  for (let index = 0; index < body.max_tokens && !response.destroyed; index++) {
-    response.write(`data: ${JSON.stringify({ model: body.model, choices: [{ index: 0, text: `token${index} ` }] })}\n\n`)
-    await wait(settings.tokenMs)
+
+  async handleCommand (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const parsed = TargetCommand.safeParse(parseJsonBody(await readBody(request, { maxBytes: MAX_BODY_BYTES })))
+    if (!parsed.success) return sendJson(response, { error: { message: parsed.error.message } }, 400)
+    const { action, fencingToken } = parsed.data
+    const isAccepted = this.#gate.accept(fencingToken)
+    this.record.addCommand({ ...parsed.data, isAccepted, atMs: Date.now() })
+    if (!isAccepted) return sendJson(response, { status: 'refused', highestToken: this.#gate.highestToken }, 409)
+    await new Promise(resolve => setTimeout(resolve, this.settings.commandMs))
+    if (action.kind === 'change-role') this.#role = action.role
+    else this.#models.add(action.name)
+    sendJson(response, { status: 'done', role: this.#role, models: [...this.#models] })
+  }
+
+  #run (response: ServerResponse, body: CompletionRequest, call: { prompt: string, path: string, requestId: string | null }): void {
+    const promptHash = this.#hash(call.prompt)
+    const prefix = call.prompt.slice(0, this.settings.prefixChars)
+    const prefixHash = this.#hash(prefix)
+    const isPrefixCached = this.#cache.add(prefixHash)
+    const promptTokens = Math.ceil(call.prompt.length / CHARS_PER_TOKEN)
+    const cachedTokens = isPrefixCached ? Math.ceil(prefix.length / CHARS_PER_TOKEN) : 0
+    const tokens = Math.max(0, body.max_tokens - body.resume_from)
+    const { path, requestId } = call
+    const entry = this.record.addRequest({ requestId, path, model: body.model, promptHash, prefixHash, isPrefixCached, resumeFrom: body.resume_from, tokens, status: 'waiting-or-running', atMs: Date.now() })
+    const format = createCompletionFormat(body, { isChat: path.startsWith('/v1/chat'), id: `cmpl-${promptHash.toString(36)}`, promptTokens })
+    const truncateAt = this.#chooseTruncation(body.stream, tokens)
+    let text = ''
+    const cancel = this.#batch.add({
+      prefillMs: this.settings.firstTokenMs + this.settings.prefillTokenMs * (promptTokens - cachedTokens),
+      tokens,
+      onToken: step => {
+        const index = body.resume_from + step
+        const token = createToken(promptHash, index)
+        if (!body.stream) text += token
+        else if (step === truncateAt) {
+          entry.status = 'truncated'
+          cancel()
+          this.#truncate(response)
+        } else {
+          if (!response.headersSent) response.writeHead(200, { 'content-type': 'text/event-stream' })
+          response.write(`data: ${JSON.stringify(format.createChunk(token, index))}\n\n`)
+        }
+      },
+      onEnd: () => {
+        if (entry.status === 'truncated') return
+        entry.status = 'complete'
+        if (!body.stream) return sendJson(response, format.createAnswer(text))
+        if (!response.headersSent) response.writeHead(200, { 'content-type': 'text/event-stream' })
+        response.end(`data: ${JSON.stringify(format.createLastChunk())}\n\ndata: [DONE]\n\n`)
+      }
+    })
+    response.on('close', () => {
+      if (entry.status !== 'waiting-or-running') return
+      entry.status = 'cancelled'
+      cancel()
+    })
+  }
+
+  /** Step at which the stream is cut off; undefined for none. */
+  #chooseTruncation (isStream: boolean, tokens: number): number | undefined {
+    if (!isStream || this.settings.truncateRate === 0 || this.#random() >= this.settings.truncateRate) return undefined
+    return Math.floor(this.#random() * tokens)
+  }
+
+  #truncate (response: ServerResponse): void {
+    if (this.settings.truncateBy === 'end') response.end()
+    else response.socket?.resetAndDestroy()
   }
-  response.end(`data: ${JSON.stringify({ model: body.model, choices: [], usage })}\n\ndata: [DONE]\n\n`)
 }
