Add the load generator

The objectives need seeded open and closed loops, latencies per client account and the outcome that each caller saw. papayalead load sends completions, chats, bookings and reads, checks each answer against its request (tokens, [DONE], booking id), and reports histograms and outcome counts as a table or JSON.

--- a/src/command/runCommandLine/index.ts
+++ b/src/command/runCommandLine/index.ts
@@ -1,11 +1,12 @@
 import { Command, Config, handle, type Interfaces, run } from '@oclif/core'
 import pjson from '../../../package.json'
 import { ControlCommand } from '../ControlCommand'
+import { LoadCommand } from '../LoadCommand'
 import { RouterCommand } from '../RouterCommand'
 import { SetCommand } from '../SetCommand'
 import { StandInCommand } from '../StandInCommand'
 
-const COMMANDS = [ControlCommand, RouterCommand, SetCommand, StandInCommand]
+const COMMANDS = [ControlCommand, LoadCommand, RouterCommand, SetCommand, StandInCommand]
 
 /** Describes a command class in the form that oclif otherwise reads from files, which a bundle does not have. */
 function createEntry (command: typeof Command): Command.Loadable {
--- /dev/null
+++ b/src/load/createCallPlanner/index.ts
@@ -0,0 +1,68 @@
+import type { CallPlan } from '../CallPlan'
+import type { LoadGroup } from '../LoadGroup'
+
+type Call = LoadGroup['calls'][number]
+
+interface CallPlannerOptions {
+  urls: readonly string[]
+  /** Put before the number of each request in its id. */
+  idPrefix: string
+  random: () => number
+}
+
+const PREFIX_CHARS = 256
+
+/**
+ * @name createCallPlanner
+ * @category Load
+ * @summary A function that draws the next request of a group.
+ *
+ * @param group - The callers.
+ * @param options - Routers, prefix of ids and random numbers.
+ * @returns The function; equal random numbers give equal requests.
+ *
+ * @example
+ * const planCall = createCallPlanner(group, { urls, idPrefix: 'g', random: createRandom(1) })
+ */
+export function createCallPlanner (group: LoadGroup, options: CallPlannerOptions): () => CallPlan {
+  const { random, urls, idPrefix } = options
+  let count = 0
+  const chooseBetween = ([low, high]: [number, number]): number => low + Math.floor(random() * (high - low + 1))
+  const createBody = (call: Call, id: string): Pick<CallPlan, 'body' | 'expected'> => {
+    const tokens = chooseBetween(call.maxTokens)
+    const prompt = createPrompt(Math.floor(random() * call.prefixes), id, chooseBetween(call.promptChars))
+    const content = call.kind === 'chat' ? { messages: [{ role: 'user', content: prompt }] } : { prompt }
+    const body = JSON.stringify({ model: call.service, ...content, max_tokens: tokens, stream: call.isStreamed })
+    return { body, expected: { prompt, tokens, isStreamed: call.isStreamed } }
+  }
+  return () => {
+    const id = `${idPrefix}-${count++}`
+    const account = chooseByShare(group.accounts, random())
+    const call = chooseByShare(group.calls, random())
+    const headers: Record<string, string> = { authorization: `Bearer ${account.key}`, 'x-request-id': id }
+    const plan = { id, account: account.name, kind: call.kind, url: urls[Math.floor(random() * urls.length)], headers }
+    if (call.kind === 'read') return { ...plan, method: 'GET', path: `/services/${call.service}/bookings/${Math.floor(random() * 10)}` }
+    headers['content-type'] = 'application/json'
+    if (call.kind === 'booking') {
+      if (call.hasKey) headers['idempotency-key'] = `key-${id}`
+      return { ...plan, method: 'POST', path: `/services/${call.service}/bookings`, body: JSON.stringify({ bookingId: id }) }
+    }
+    return { ...plan, method: 'POST', path: call.kind === 'chat' ? '/v1/chat/completions' : '/v1/completions', ...createBody(call, id) }
+  }
+}
+
+function chooseByShare<T extends { share: number }> (items: readonly T[], draw: number): T {
+  let rest = draw * items.reduce((sum, item) => sum + item.share, 0)
+  for (const item of items) {
+    rest -= item.share
+    if (rest < 0) return item
+  }
+  return items[items.length - 1]
+}
+
+/** The beginning depends on the prefix alone, the rest on the id, so that every prompt is unique. */
+function createPrompt (prefix: number, id: string, chars: number): string {
+  const beginning = `Shared instructions ${prefix}. `.padEnd(PREFIX_CHARS, `dosing log ${prefix} `)
+  const own = `Request ${id}. `
+  return chars > PREFIX_CHARS + own.length ? (beginning + own).padEnd(chars, own) : own.padEnd(chars, own)
+}
--- a/src/standIn/EngineBatch/index.ts
+++ b/src/standIn/EngineBatch/index.ts
@@ -84,12 +84,12 @@
     const stepMs = tokenMs * (1 + slowdownPerRequest * (this.#running.size - 1))
     let hasEnded = false
     for (const running of this.#running) {
-      while (running.nextTokenAtMs <= nowMs && running.generated < running.work.tokens) {
+      // A request may be cancelled by its own token.
+      while (this.#running.has(running) && running.nextTokenAtMs <= nowMs && running.generated < running.work.tokens) {
         running.work.onToken(running.generated++)
         running.nextTokenAtMs += stepMs
       }
-      if (running.generated < running.work.tokens) continue
-      this.#running.delete(running)
+      if (running.generated < running.work.tokens || !this.#running.delete(running)) continue
       running.work.onEnd()
       hasEnded = true
     }
--- a/src/standIn/startBooking/index.ts
+++ b/src/standIn/startBooking/index.ts
@@ -5,7 +5,7 @@
 import { readBody } from '../../instance/readBody'
 import { startHttpServer } from '../../instance/startHttpServer'
 import { createClose } from '../_lib/createClose'
-import { createRandom } from '../_lib/createRandom'
+import { createRandom } from '../createRandom'
 import { sendJson } from '../_lib/sendJson'
 import { BookingSettings } from '../BookingSettings'
 
--- a/src/standIn/startEngine/index.ts
+++ b/src/standIn/startEngine/index.ts
@@ -9,7 +9,7 @@
 import { CompletionRequest } from '../_lib/CompletionRequest'
 import { createClose } from '../_lib/createClose'
 import { createCompletionFormat } from '../_lib/createCompletionFormat'
-import { createRandom } from '../_lib/createRandom'
+import { createRandom } from '../createRandom'
 import { sendJson } from '../_lib/sendJson'
 import { CacheEventLog } from '../CacheEventLog'
 import { CommandGate } from '../CommandGate'
@@ -158,7 +158,6 @@
         }
       },
       onEnd: () => {
-        if (entry.status === 'truncated') return
         entry.status = 'complete'
         if (!body.stream) return sendJson(response, format.createAnswer(text))
         if (!response.headersSent) response.writeHead(200, { 'content-type': 'text/event-stream' })
