Measure the routing overhead and send waiting requests to the scheduler at once

The overhead experiment compares routed calls with direct ones in the same run, through the zone scheduler and through another router, and measures throughput by CPU time and memory after a collection.

Cause: a router collected the changes for its scheduler for 20 ms after each message, so that at 200 requests/s a request waited 12 ms for its slot.

Change: while requests wait, changes are collected for 2 ms, and the first is sent in the same turn of the event loop without a timer.

--- /dev/null
+++ b/src/bench/_lib/createMemoryProbe/index.ts
@@ -0,0 +1,24 @@
+import { readFileSync, rmSync, statSync } from 'node:fs'
+import { waitFor } from '../../../../test/_lib/waitFor'
+
+interface MemoryProbe {
+  /** Flags of node for the process to be observed. */
+  nodeFlags: string[]
+  /** Heap in use after a full collection and resident memory, in bytes. */
+  measure: (signal: (name: NodeJS.Signals) => void) => Promise<{ heapBytes: number, rssBytes: number }>
+}
+
+/** Lets another process collect its garbage and report its memory when it receives SIGUSR2. */
+export function createMemoryProbe (file: string): MemoryProbe {
+  const code = `import{writeFileSync,renameSync}from"node:fs";process.on("SIGUSR2",()=>{gc();gc();writeFileSync("${file}.new",JSON.stringify(process.memoryUsage()));renameSync("${file}.new","${file}")})`
+  return {
+    nodeFlags: ['--expose-gc', '--import', `data:text/javascript,${encodeURIComponent(code)}`],
+    measure: async signal => {
+      rmSync(file, { force: true })
+      signal('SIGUSR2')
+      await waitFor('the memory report', () => statSync(file).size > 0)
+      const { heapUsed, rss } = JSON.parse(readFileSync(file, 'utf8'))
+      return { heapBytes: heapUsed, rssBytes: rss }
+    }
+  }
+}
--- a/src/bench/experiments/index.ts
+++ b/src/bench/experiments/index.ts
@@ -1,4 +1,5 @@
 import type { Experiment } from '../Experiment'
+import { overhead } from './overhead'
 
 /** All experiments, in the order in which `npm run bench` runs them. */
-export const experiments: readonly Experiment[] = []
+export const experiments: readonly Experiment[] = [overhead]
--- a/src/instance/_lib/RouterAgent/index.ts
+++ b/src/instance/_lib/RouterAgent/index.ts
@@ -4,8 +4,10 @@
 import type { RouterOperation } from '../../../schedule/RouterOperation'
 import type { RouterReport } from '../../../schedule/RouterReport'
 
-/** After the first change, further ones are collected for this time. */
+/** Changes are collected for this time after a message. */
 const COALESCE_MS = 20
+/** While requests wait, each millisecond of collecting is a part of their latency. */
+const URGENT_COALESCE_MS = 2
 const HEARTBEAT_MS = 250
 
 interface RouterAgentOptions {
@@ -27,6 +29,7 @@
   #isRegistered = false
   #lastSentAtMs = -Infinity
   #timer?: NodeJS.Timeout
+  #dueAtMs = Infinity
 
   constructor (options: RouterAgentOptions) {
     this.#options = options
@@ -73,11 +76,17 @@
     }
   }
 
-  /** The first change is sent in this turn of the event loop, later ones within 20 ms. */
+  /** The first change is sent in this turn of the event loop, later ones within 20 ms, or 2 ms while requests wait. */
   notifyChange (): void {
-    if (this.#timer) return
-    const waitMs = Math.max(0, this.#lastSentAtMs + COALESCE_MS - performance.now())
-    this.#timer = setTimeout(() => this.#flush(), waitMs)
+    const nowMs = performance.now()
+    const coalesceMs = this.#options.gate.countWaiting() > 0 ? URGENT_COALESCE_MS : COALESCE_MS
+    const dueAtMs = Math.max(nowMs, this.#lastSentAtMs + coalesceMs)
+    if (dueAtMs >= this.#dueAtMs) return
+    clearTimeout(this.#timer)
+    this.#dueAtMs = dueAtMs
+    // A timer takes at least 1 ms.
+    if (dueAtMs === nowMs) setImmediate(() => this.#flushDue())
+    else this.#timer = setTimeout(() => this.#flush(), dueAtMs - nowMs)
   }
 
   tick (nowMs: number): void {
@@ -87,11 +96,16 @@
 
   stop (): void {
     clearTimeout(this.#timer)
+    this.#dueAtMs = Infinity
+  }
+
+  #flushDue (): void {
+    if (this.#dueAtMs !== Infinity) this.#flush()
   }
 
   #flush (): void {
     clearTimeout(this.#timer)
-    this.#timer = undefined
+    this.#dueAtMs = Infinity
     if (this.#scheduler === undefined || !this.#isRegistered) return
     const { gate, sendBatch } = this.#options
     const operations = gate.takeOperations()
--- a/src/load/createCallPlanner/index.ts
+++ b/src/load/createCallPlanner/index.ts
@@ -7,6 +7,8 @@
   urls: readonly string[]
   /** Put before the number of each request in its id. */
   idPrefix: string
+  /** Whether the URLs are targets and not routers. */
+  isDirect?: boolean
   random: () => number
 }
 
@@ -27,6 +29,7 @@
 export function createCallPlanner (group: LoadGroup, options: CallPlannerOptions): () => CallPlan {
   const { random, urls, idPrefix } = options
   let count = 0
+  const createServicePath = (service: string, path: string): string => options.isDirect ? path : `/services/${service}${path}`
   const chooseBetween = ([low, high]: [number, number]): number => low + Math.floor(random() * (high - low + 1))
   const createBody = (call: Call, id: string): Pick<CallPlan, 'body' | 'expected'> => {
     const tokens = chooseBetween(call.maxTokens)
@@ -41,11 +44,11 @@
     const call = chooseByShare(group.calls, random())
     const headers: Record<string, string> = { authorization: `Bearer ${account.key}`, 'x-request-id': id }
     const plan = { id, account: account.name, kind: call.kind, url: urls[Math.floor(random() * urls.length)], headers }
-    if (call.kind === 'read') return { ...plan, method: 'GET', path: `/services/${call.service}/bookings/${Math.floor(random() * 10)}` }
+    if (call.kind === 'read') return { ...plan, method: 'GET', path: createServicePath(call.service, `/bookings/${Math.floor(random() * 10)}`) }
     headers['content-type'] = 'application/json'
     if (call.kind === 'booking') {
       if (call.hasKey) headers['idempotency-key'] = `key-${id}`
-      return { ...plan, method: 'POST', path: `/services/${call.service}/bookings`, body: JSON.stringify({ bookingId: id }) }
+      return { ...plan, method: 'POST', path: createServicePath(call.service, '/bookings'), body: JSON.stringify({ bookingId: id }) }
     }
     return { ...plan, method: 'POST', path: call.kind === 'chat' ? '/v1/chat/completions' : '/v1/completions', ...createBody(call, id) }
   }
--- a/src/load/runLoad/index.ts
+++ b/src/load/runLoad/index.ts
@@ -36,7 +36,7 @@
   await Promise.all(settings.groups.map(async (group, index) => {
     await wait(group.startMs)
     const random = createRandom(settings.seed + index * GROUP_SEED_STEP)
-    const planCall = createCallPlanner(group, { urls: settings.urls, idPrefix: `${settings.seed}-${index}`, random })
+    const planCall = createCallPlanner(group, { urls: settings.urls, isDirect: settings.isDirect, idPrefix: `${settings.seed}-${index}`, random })
     const runCall = (plan: CallPlan, plannedAtMs: number): Promise<void> => sendAndRecord(plan, plannedAtMs, group)
     await (group.loop === 'open' ? runOpenLoop(group, random, planCall, runCall) : runClosedLoop(group, planCall, runCall))
   }))
--- a/test/_lib/FleetOptions/index.ts
+++ b/test/_lib/FleetOptions/index.ts
@@ -25,4 +25,8 @@
   /** More process settings for each router and each control replica. */
   router?: object
   control?: object
+  /** Flags of node for each router. */
+  routerNodeFlags?: string[]
+  /** Directory for a log file of each process; without it they write to the test's standard error. */
+  logDirectory?: string
 }
--- a/test/_lib/startFleet/index.ts
+++ b/test/_lib/startFleet/index.ts
@@ -82,7 +82,11 @@
     instance, zone, http: { host: HOST, port: http }, link: { host: HOST, port: link }, clusterKey: CLUSTER_KEY, logLevel: 'error'
   })
   const start = async (name: string, zone: string, port: number, args: string[], settings?: object): Promise<Member> => {
-    const member = await startMember({ name, zone, url: `http://${HOST}:${port}` }, () => startProcess(args, settings))
+    const processOptions = {
+      nodeFlags: args[0] === 'router' ? options.routerNodeFlags : undefined,
+      logFile: options.logDirectory && join(options.logDirectory, `${name}.log`)
+    }
+    const member = await startMember({ name, zone, url: `http://${HOST}:${port}` }, () => startProcess(args, settings, processOptions))
     members.push(member)
     return member
   }
--- a/test/_lib/startProcess/index.ts
+++ b/test/_lib/startProcess/index.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
-import { mkdtempSync, writeFileSync } from 'node:fs'
+import { closeSync, mkdtempSync, openSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
@@ -21,14 +21,23 @@
 /** Ends the process when its parent is gone, also when the parent was killed: the parent holds the other end of the pipe. */
 const EXIT_WITH_PARENT = 'data:text/javascript,process.stdin.on("end",()=>process.exit(137)).resume().unref()'
 
+interface StartProcessOptions {
+  nodeFlags?: string[]
+  /** Receives what it writes to standard error; the test's own by default. */
+  logFile?: string
+}
+
 /** Starts a process of the bundle and waits for its first line of output. Its settings file is written to a temporary directory. */
-export async function startProcess (args: string[], settings?: object): Promise<StartedProcess> {
+export async function startProcess (args: string[], settings?: object, options: StartProcessOptions = {}): Promise<StartedProcess> {
+  const { nodeFlags = [], logFile } = options
+  const stderr = logFile ? openSync(logFile, 'a') : 'inherit'
   const configFlags = settings ? ['--config', writeSettings(settings)] : []
-  const child = spawn(process.execPath, ['--import', EXIT_WITH_PARENT, BUNDLE, ...args, ...configFlags], { stdio: ['pipe', 'pipe', 'inherit'] })
-  child.stdin.on('error', () => {})
+  const child = spawn(process.execPath, ['--import', EXIT_WITH_PARENT, ...nodeFlags, BUNDLE, ...args, ...configFlags], { stdio: ['pipe', 'pipe', stderr] })
+  if (typeof stderr === 'number') closeSync(stderr)
+  child.stdin!.on('error', () => {})
   const exitCode = once(child, 'exit').then(([code]) => code as number | null)
   const [line] = await Promise.race([
-    once(createInterface(child.stdout), 'line'),
+    once(createInterface(child.stdout!), 'line'),
     exitCode.then(code => { throw new Error(`${args[0]} ended with ${code} before it was ready`) })
   ])
   const stop = async (): Promise<void> => {
