Check the log level before a message is formatted

winston formats a message and only then drops it for its level, which was 6% of the router's time in a profile of small requests (one debug line a request).

--- a/src/telemetry/createPartLogger/index.ts
+++ b/src/telemetry/createPartLogger/index.ts
@@ -15,9 +15,16 @@
  */
 export function createPartLogger (logger: Logger, part: string): PartLogger {
   return {
-    error: (message, fields) => { logger.error(`[${part}] ${message}`, fields) },
-    warn: (message, fields) => { logger.warn(`[${part}] ${message}`, fields) },
-    info: (message, fields) => { logger.info(`[${part}] ${message}`, fields) },
-    debug: (message, fields) => { logger.debug(`[${part}] ${message}`, fields) }
+    error: createLogMethod(logger, part, 'error'),
+    warn: createLogMethod(logger, part, 'warn'),
+    info: createLogMethod(logger, part, 'info'),
+    debug: createLogMethod(logger, part, 'debug')
+  }
+}
+
+/** winston formats a message before it drops it for its level, so the level is checked first. */
+function createLogMethod (logger: Logger, part: string, level: keyof PartLogger): PartLogger['debug'] {
+  return (message, fields) => {
+    if (logger.isLevelEnabled(level)) logger.log(level, `[${part}] ${message}`, fields)
   }
 }
