--- a/src/instance/CallHandler/index.ts
+++ b/src/instance/CallHandler/index.ts
@@ -8,6 +8,7 @@
 import type { AnswerRelay } from '../../target/AnswerRelay'
 import { selectHeaders } from '../../target/selectHeaders'
 import type { TargetCall } from '../../target/TargetCall'
+import type { RequestObservation } from '../../telemetry/RequestObservation'
 import { parseJsonBody } from '../parseJsonBody'
 import { readBody } from '../readBody'
 
@@ -20,6 +21,12 @@
   maxBodyBytes: number
 }
 
+interface Exchange {
+  request: IncomingMessage
+  response: ServerResponse
+  observation: RequestObservation
+}
+
 interface Call {
   account: ClientAccount & { name: string }
   service: string
@@ -36,7 +43,7 @@
  * @param options - Settings, relay of the answers, limit of the body in bytes.
  *
  * @example
- * await handler.handleCompletion(request, response)
+ * await handler.handleCompletion(request, response, observation)
  */
 export class CallHandler {
   readonly #options: CallHandlerOptions
@@ -45,27 +52,27 @@
     this.#options = options
   }
 
-  async handleCompletion (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async handleCompletion (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
     const account = checkCredentials(request.headers.authorization, this.#options.view)
     const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
     const head = CompletionHead.safeParse(parseJsonBody(body))
     if (!head.success) throw new AppError('bad-request', 'The body needs a model.')
-    await this.#runCall(request, response, { account, service: head.data.model, path: request.url ?? '/', body, kind: 'completion' })
+    await this.#runCall({ request, response, observation }, { account, service: head.data.model, path: request.url ?? '/', body, kind: 'completion' })
   }
 
-  async handleService (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async handleService (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
     const account = checkCredentials(request.headers.authorization, this.#options.view)
     const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
     const match = /^\/services\/([^/?]+)(\/?.*)$/.exec(request.url ?? '')
     if (!match) throw new AppError('not-found', 'No such path.')
-    await this.#runCall(request, response, { account, service: match[1], path: match[2] || '/', body, kind: 'http' })
+    await this.#runCall({ request, response, observation }, { account, service: match[1], path: match[2] || '/', body, kind: 'http' })
   }
 
-  async #runCall (request: IncomingMessage, response: ServerResponse, call: Call): Promise<void> {
+  async #runCall ({ request, response, observation }: Exchange, call: Call): Promise<void> {
     const service = this.#findService(call)
+    observation.setCall({ account: call.account.name, service: call.service })
     const signal = watchCaller(response)
-    if (request.headers['x-request-id']) response.setHeader('x-request-id', request.headers['x-request-id'])
-    await this.#options.relay.run(createTargetCall(request, { call, service, signal }), response)
+    await this.#options.relay.run(createTargetCall(request, { call, service, signal, observation }), response)
   }
 
   #findService (call: Call): Service {
@@ -87,8 +94,8 @@
   return abort.signal
 }
 
-function createTargetCall (request: IncomingMessage, parts: { call: Call, service: Service, signal: AbortSignal }): TargetCall {
-  const { call, service, signal } = parts
+function createTargetCall (request: IncomingMessage, parts: { call: Call, service: Service, signal: AbortSignal, observation: RequestObservation }): TargetCall {
+  const { call, service, signal, observation } = parts
   const method = request.method ?? 'GET'
   return {
     account: call.account.name,
@@ -96,6 +103,7 @@
     estimate: service.estimate,
     deadlineAtMs: performance.now() + service.deadlineMs,
     signal,
+    trace: observation,
     isIdempotent: call.kind === 'completion' || IDEMPOTENT_METHODS.has(method),
     isCompletion: call.kind === 'completion',
     method,
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -1,21 +1,20 @@
 import { randomUUID } from 'node:crypto'
-import { SettingsFollower } from '../../configuration/SettingsFollower'
-import { SettingsTree } from '../../configuration/SettingsTree'
-import { SettingsView } from '../../configuration/SettingsView'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import type { RouterSettings } from '../../contract/RouterSettings'
-import { LifecycleManager } from '../../lifecycle/LifecycleManager'
-import { LinkClient } from '../../link/LinkClient'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
-import { LocalAdmissionGate } from '../../schedule/LocalAdmissionGate'
 import { AnswerRelay } from '../../target/AnswerRelay'
 import { CallDispatcher } from '../../target/CallDispatcher'
 import { RunningWork } from '../../target/RunningWork'
 import { TargetClient } from '../../target/TargetClient'
-import { createLogger } from '../../telemetry/createLogger'
-import { createPartLogger } from '../../telemetry/createPartLogger'
+import { createPeerDirectory } from '../_lib/createPeerDirectory'
+import { createSettings } from '../_lib/createSettings'
+import { createTelemetry } from '../_lib/createTelemetry'
+import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
+import { observeCalls } from '../observeCalls'
+import { registerRouterReadings } from '../registerRouterReadings'
+import { sendMetrics } from '../sendMetrics'
 import { startHttpServer } from '../startHttpServer'
 
 interface RunningRouter {
@@ -38,36 +37,37 @@
  * await router.close()
  */
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
-  const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'router')
-  const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
-  const tree = new SettingsTree()
-  const view = new SettingsView()
+  const telemetry = createTelemetry(settings, 'router')
+  const { logger, lifecycle, metrics, observer } = telemetry
+  const directory = createPeerDirectory(settings, logger, lifecycle)
+  const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
+  const handlers = new Map(configuration.handlers)
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
-    handlers: new Map(),
+    handlers,
+    onLink: link => telemetry.traffic.add(link),
     onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message })
   }
   const links = new LinkServer(linkOptions)
   const link = await links.listen(settings.link)
   lifecycle.register('links', () => links.close())
-  const control = settings.control.map(address => new LinkClient(address, linkOptions))
-  lifecycle.register('control links', () => control.forEach(client => client.close()))
-  const follower = new SettingsFollower({ tree, view, sources: () => control })
-  follower.start()
-  lifecycle.register('settings follower', () => follower.stop())
+  configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const gate = new LocalAdmissionGate(view)
-  const running = new RunningWork()
-  const dispatcher = new CallDispatcher({ gate, targets, running, isTargetOpen: target => !view.isDrainedByOperator(target) })
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, logger: telemetry.createLogger('schedule') })
+  const dispatcher = new CallDispatcher({ gate, targets, running: new RunningWork(), isTargetOpen: target => !view.isDrainedByOperator(target) })
   const calls = new CallHandler({ view, relay: new AnswerRelay(dispatcher), maxBodyBytes: settings.maxBodyBytes })
+  registerRouterReadings(metrics, { view, gate })
+  const handleCompletion = observeCalls(observer, (request, response, observation) => calls.handleCompletion(request, response, observation))
+  const handleService = observeCalls(observer, (request, response, observation) => calls.handleService(request, response, observation))
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503).end() } },
-    { method: 'post', path: '/v1/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'post', path: '/v1/chat/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'all', path: '/services/*', handler: (request, response) => calls.handleService(request, response) }
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
+    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
+    { method: 'post', path: '/v1/completions', handler: handleCompletion },
+    { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
+    { method: 'all', path: '/services/*', handler: handleService }
   ])
   lifecycle.register('callers', () => new Promise<void>(resolve => {
     server.close(() => resolve())
--- a/src/target/AnswerRelay/index.ts
+++ b/src/target/AnswerRelay/index.ts
@@ -62,6 +62,7 @@
 
   async #tryRelay (call: TargetCall, answer: RunningAnswer, response: ServerResponse): Promise<AppError | undefined> {
     const { status, headers, body } = answer.response
+    const hop = call.trace.startHop('stream', { target: answer.target })
     try {
       const { bytes, rest } = await readAnswer(body, { maxBytes: MAX_BUFFERED_BYTES })
       if (rest) await pipeRest(call, answer, { response, bytes, rest })
@@ -70,8 +71,10 @@
         sendComplete(response, { status, headers: selectHeaders(headers), bytes, declaredLength })
       }
       answer.settle((call.isCompletion ? computeCost(bytes.toString('utf8')) : undefined) ?? call.estimate)
+      hop.stop()
       return undefined
     } catch (thrown) {
+      hop.stop(thrown)
       body.on('error', () => {}).destroy()
       answer.fail({ cost: call.estimate, isHealthy: call.signal.aborted })
       if (call.signal.aborted) return new AppError('caller-gone', 'The caller left.', { cause: thrown })
--- a/src/target/CallDispatcher/index.ts
+++ b/src/target/CallDispatcher/index.ts
@@ -69,10 +69,13 @@
 
   async #admit (call: TargetCall, state: { excluded: Set<string>, failure?: AppError }): Promise<Slot> {
     const { account, service, estimate, deadlineAtMs, signal } = call
+    const hop = call.trace.startHop('queue')
     try {
       return await this.#options.gate.admit({ account, service, estimate, deadlineAtMs, signal, excludedTargets: state.excluded })
     } catch (thrown) {
       throw state.failure ?? thrown
+    } finally {
+      hop.stop()
     }
   }
 
@@ -84,12 +87,16 @@
       return {}
     }
     running.add(slot.target)
+    const hop = call.trace.startHop('dispatch', { target: slot.target })
     try {
-      const { method, path, headers, body, signal, deadlineAtMs, confirmSend, isCompletion } = call
+      const { method, path, body, signal, deadlineAtMs, confirmSend, isCompletion } = call
+      const headers = { ...call.headers, ...call.trace.traceHeaders }
       const response = await targets.dispatch({ url: slot.url, method, path, headers, body, signal, answerDeadlineAtMs: deadlineAtMs, confirmSend, hasFinalEvent: isCompletion })
+      hop.stop()
       return { answer: this.#createAnswer(slot, response) }
     } catch (thrown) {
       const error = convertToAppError(thrown)
+      hop.stop(error)
       const cost = error.outcome === 'not-run' ? 0 : call.estimate
       this.#releaseFailed(slot, { cost, isHealthy: isFaultOfOthers(error) })
       return { error }
--- a/src/target/CallDispatcher/test.ts
+++ b/src/target/CallDispatcher/test.ts
@@ -37,7 +37,7 @@
 }
 
 const createCall = (isIdempotent: boolean): TargetCall => ({
-  account: 'a', service: 's', estimate: 1, deadlineAtMs: performance.now() + 10_000, signal: new AbortController().signal, isIdempotent, isCompletion: false, method: 'POST', path: '/', headers: {}
+  account: 'a', service: 's', estimate: 1, deadlineAtMs: performance.now() + 10_000, signal: new AbortController().signal, isIdempotent, isCompletion: false, method: 'POST', path: '/', headers: {}, trace: { traceHeaders: {}, startHop: () => ({ stop: () => {} }) }
 })
 
 describe('CallDispatcher', () => {
--- a/src/target/EventStreamRelay/index.ts
+++ b/src/target/EventStreamRelay/index.ts
@@ -43,6 +43,9 @@
     this.#dispatcher = dispatcher
   }
 
+  /**
+   * @throws AppError if the stream ended incomplete; the caller's connection must be destroyed then.
+   */
   async pipe (call: TargetCall, first: RunningAnswer, response: ServerResponse): Promise<void> {
     const state: StreamState = { tokens: 0, isUsageSent: false }
     const answerTimeMs = call.deadlineAtMs - performance.now()
@@ -57,7 +60,10 @@
       const next = failures <= MAX_RESUMES_WITHOUT_TOKEN && !call.signal.aborted
         ? await this.#tryResume(call, { state, failedTarget: answer.target, answerTimeMs: Math.max(answerTimeMs, 1) })
         : undefined
-      if (!next) return closeWithError(response, error)
+      if (!next) {
+        await writeError(response, error)
+        throw error
+      }
       answer = next
     }
   }
@@ -65,13 +71,16 @@
   async #tryRelay (call: TargetCall, answer: RunningAnswer, target: { state: StreamState, response: ServerResponse }): Promise<AppError | undefined> {
     const { state, response } = target
     const offset = state.tokens
+    const hop = call.trace.startHop('stream', { target: answer.target })
     try {
       if (!await pipeEvents(call, answer, target)) throw new AppError('answer-truncated', 'The stream ended without its final event.')
     } catch (thrown) {
+      hop.stop(thrown)
       if (!call.signal.aborted) answer.response.body.destroy()
       answer.fail({ cost: state.tokens - offset, isHealthy: call.signal.aborted })
       return thrown instanceof AppError ? thrown : new AppError('answer-truncated', 'The target broke off the stream.', { cause: thrown })
     }
+    hop.stop()
     answer.settle(state.cost === undefined ? state.tokens - offset : Math.max(0, state.cost - offset))
     return response.destroyed ? new AppError('caller-gone', 'The caller left.') : undefined
   }
@@ -158,8 +167,16 @@
   response.end()
 }
 
-function closeWithError (response: ServerResponse, error: AppError): void {
+/** Writes the error event; the caller of this function destroys the connection. A caller that does not read misses the event. */
+async function writeError (response: ServerResponse, error: AppError): Promise<void> {
+  if (response.destroyed) return
   const { kind, message } = error
   const data = JSON.stringify({ error: { kind, message, outcome: 'unknown' } })
-  response.write(`event: error\ndata: ${data}\n\n`, () => response.destroy())
+  await new Promise<void>(resolve => {
+    const timer = setTimeout(resolve, CLOSING_TIME_MS)
+    response.write(`event: error\ndata: ${data}\n\n`, () => {
+      clearTimeout(timer)
+      resolve()
+    })
+  })
 }
--- a/src/target/TargetCall/index.ts
+++ b/src/target/TargetCall/index.ts
@@ -1,3 +1,5 @@
+import type { CallTrace } from '../CallTrace'
+
 /**
  * @name TargetCall
  * @category Target
@@ -8,7 +10,7 @@
  * called right before the first byte of each attempt; if it throws, the attempt is not sent.
  *
  * @example
- * const call: TargetCall = { account: 'quotes', service: 'booking', estimate: 1, deadlineAtMs, signal, isIdempotent: true, isCompletion: false, method: 'GET', path: '/bookings/7', headers: {} }
+ * const call: TargetCall = { account: 'quotes', service: 'booking', estimate: 1, deadlineAtMs, signal, isIdempotent: true, isCompletion: false, method: 'GET', path: '/bookings/7', headers: {}, trace }
  */
 export interface TargetCall {
   account: string
@@ -21,6 +23,7 @@
   path: string
   headers: Record<string, string | string[]>
   body?: Buffer
+  trace: CallTrace
   confirmSend?: () => void
   /** Completions end event streams with `[DONE]` and report their usage. */
   isCompletion: boolean
--- a/src/target/TargetClient/index.ts
+++ b/src/target/TargetClient/index.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from 'node:crypto'
+import { randomBytes } from 'node:crypto'
 import { Agent, type Dispatcher } from 'undici'
 import { AppError } from '../../contract/AppError'
 import type { Outcome } from '../../contract/Outcome'
@@ -40,7 +40,7 @@
     const state = new SendState(request.confirmSend)
     const limit = createTimeLimit(request)
     try {
-      const requestId = randomUUID()
+      const requestId = createRequestId(request)
       const options = createOptions(request, { requestId, signal: limit.signal })
       const { statusCode, headers, body } = await this.#agent.compose(createSendObserver(state)).request(options)
       const response: TargetResponse = { status: statusCode, headers, body }
@@ -65,6 +65,13 @@
   }
 }
 
+/** The caller's id may repeat, so each attempt adds a random part. */
+function createRequestId (request: TargetRequest): string {
+  const suffix = randomBytes(8).toString('hex')
+  const id = request.headers['x-request-id']
+  return id === undefined ? suffix : `${String(id)}.${suffix}`
+}
+
 function createOptions (request: TargetRequest, extra: { requestId: string, signal: AbortSignal }): Dispatcher.RequestOptions {
   return {
     origin: request.url,
