Run calls with an idempotency key at most once

Cause: a booking that was resent after a lost response ran again. Change: IdempotencyTable is the state machine of the idempotency log group. A router claims the record before the call is queued, checks its session lease right before the first byte, stores the response before it answers, and withdraws exactly its own attempt when nothing was sent.

--- /dev/null
+++ b/src/idempotency/IdempotencyResult/index.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod'
+import { StoredResponse } from '../StoredResponse'
+
+/**
+ * @name IdempotencyResult
+ * @category Idempotency
+ * @summary The result of an idempotency command.
+ *
+ * @description
+ * `claimed`: the attempt owns the record and may send. `running`: another attempt owns it. `ended`: the call has ended.
+ * `conflict`: the key belongs to another request. `session-ended`: the router needs a new session. `withdrawn`: the
+ * attempt never gets to send. `done`, `refused`: the command had an effect, or none.
+ *
+ * @example
+ * IdempotencyResult.parse({ status: 'claimed' })
+ */
+export const IdempotencyResult = z.discriminatedUnion('status', [
+  z.object({ status: z.enum(['claimed', 'running', 'conflict', 'session-ended', 'withdrawn', 'done', 'refused']) }),
+  z.object({ status: z.literal('ended'), response: StoredResponse })
+])
+export type IdempotencyResult = z.infer<typeof IdempotencyResult>
--- a/src/instance/CallHandler/index.ts
+++ b/src/instance/CallHandler/index.ts
@@ -9,15 +9,18 @@
 import { selectHeaders } from '../../target/selectHeaders'
 import type { TargetCall } from '../../target/TargetCall'
 import type { RequestObservation } from '../../telemetry/RequestObservation'
+import type { KeyedCallRunner } from '../KeyedCallRunner'
 import { parseJsonBody } from '../parseJsonBody'
 import { readBody } from '../readBody'
 
 const CompletionHead = z.object({ model: z.string(), max_tokens: z.number().positive().optional() })
+const MAX_KEY_LENGTH = 200
 const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS'])
 
 interface CallHandlerOptions {
   view: SettingsView
   relay: AnswerRelay
+  keyed: KeyedCallRunner
   maxBodyBytes: number
 }
 
@@ -40,7 +43,7 @@
  * @category Instance
  * @summary Takes a caller's request from its arrival to the end of the answer.
  *
- * @param options - Settings, relay of the answers, limit of the body in bytes.
+ * @param options - Settings, relay of the answers, runner of calls with a key, limit of the body in bytes.
  *
  * @example
  * await handler.handleCompletion(request, response, observation)
@@ -72,7 +75,10 @@
     const service = this.#findService(call)
     observation.setCall({ account: call.account.name, service: call.service })
     const signal = watchCaller(response)
-    await this.#options.relay.run(createTargetCall(request, { call, service, signal, observation }), response)
+    const targetCall = createTargetCall(request, { call, service, signal, observation })
+    const key = targetCall.isIdempotent ? undefined : parseKey(request.headers['idempotency-key'])
+    if (key === undefined) await this.#options.relay.run(targetCall, response)
+    else await this.#options.keyed.run(targetCall, key, response)
   }
 
   #findService (call: Call): Service {
@@ -85,6 +91,12 @@
   }
 }
 
+function parseKey (header: string | string[] | undefined): string | undefined {
+  if (header === undefined) return undefined
+  if (typeof header === 'string' && header.length > 0 && header.length <= MAX_KEY_LENGTH) return header
+  throw new AppError('bad-request', `An idempotency key has 1 to ${MAX_KEY_LENGTH} characters.`)
+}
+
 /** A signal that aborts when the caller leaves before the end of the answer. */
 function watchCaller (response: ServerResponse): AbortSignal {
   const abort = new AbortController()
--- /dev/null
+++ b/src/instance/KeyedCallRunner/index.ts
@@ -0,0 +1,150 @@
+import { randomUUID } from 'node:crypto'
+import type { ServerResponse } from 'node:http'
+import { AppError } from '../../contract/AppError'
+import { convertToAppError } from '../../contract/convertToAppError'
+import { computeDigest } from '../../idempotency/computeDigest'
+import type { IdempotencyClient } from '../../idempotency/IdempotencyClient'
+import { MAX_STORED_BYTES } from '../../idempotency/MAX_STORED_BYTES'
+import type { StoredResponse } from '../../idempotency/StoredResponse'
+import type { CallDispatcher } from '../../target/CallDispatcher'
+import { MAX_BUFFERED_BYTES } from '../../target/MAX_BUFFERED_BYTES'
+import { pipeAnswer } from '../../target/pipeAnswer'
+import { readAnswer } from '../../target/readAnswer'
+import type { RunningAnswer } from '../../target/RunningAnswer'
+import { selectHeaders } from '../../target/selectHeaders'
+import { sendAnswer } from '../../target/sendAnswer'
+import type { TargetCall } from '../../target/TargetCall'
+
+interface Attempt {
+  id: string
+  attempt: string
+}
+
+/** How long the caller's answer waits for the record of its response. */
+const STORE_TIMEOUT_MS = 2_000
+
+/**
+ * @name KeyedCallRunner
+ * @category Instance
+ * @summary Runs a non-idempotent call with an idempotency key at most once, and answers its resends.
+ *
+ * @description
+ * The record is claimed before the call is queued, so that a resend of an ended call needs no slot. Once a byte was
+ * sent, the call runs to its end although the caller leaves, so that a resend gets the response.
+ *
+ * @param dispatcher - Runs calls on targets.
+ * @param records - The idempotency records.
+ *
+ * @example
+ * await runner.run(call, key, response)
+ */
+export class KeyedCallRunner {
+  readonly #dispatcher: CallDispatcher
+  readonly #records: IdempotencyClient
+  #running = 0
+
+  constructor (dispatcher: CallDispatcher, records: IdempotencyClient) {
+    this.#dispatcher = dispatcher
+    this.#records = records
+  }
+
+  /** Calls that run or whose response is not stored yet, also those whose caller left. */
+  countRunning (): number {
+    return this.#running
+  }
+
+  /**
+   * @throws AppError with the outcome of the call.
+   */
+  async run (call: TargetCall, key: string, response: ServerResponse): Promise<void> {
+    const attempt: Attempt = { id: `${call.account}/${key}`, attempt: randomUUID() }
+    const hop = call.trace.startHop('claim')
+    const claim = await this.#records.claim({ ...attempt, digest: computeDigest(call), deadlineAtMs: call.deadlineAtMs }).finally(() => hop.stop())
+    if (claim.response) return sendStored(response, claim.response, call.method)
+    this.#running++
+    try {
+      await this.#runClaimed(call, { ...attempt, session: claim.session }, response)
+    } finally {
+      this.#running--
+    }
+  }
+
+  async #runClaimed (call: TargetCall, claim: Attempt & { session: string }, response: ServerResponse): Promise<void> {
+    const answer = await this.#dispatch(call, claim)
+    const hop = call.trace.startHop('stream', { target: answer.target })
+    try {
+      await this.#pipe(call, { answer, claim }, response)
+      hop.stop()
+    } catch (thrown) {
+      hop.stop(thrown)
+      answer.response.body.on('error', () => {}).destroy()
+      answer.fail({ cost: call.estimate, isHealthy: call.signal.aborted })
+      this.#recordUnknown(claim)
+      throw new AppError('answer-truncated', 'The target broke off its answer.', { cause: thrown })
+    }
+  }
+
+  async #dispatch (call: TargetCall, claim: Attempt & { session: string }): Promise<RunningAnswer> {
+    const abort = new AbortController()
+    const handleAbort = (): void => abort.abort(call.signal.reason)
+    if (call.signal.aborted) handleAbort()
+    call.signal.addEventListener('abort', handleAbort)
+    const confirmSend = (): void => {
+      this.#records.confirmSend(claim.session)
+      call.signal.removeEventListener('abort', handleAbort)
+    }
+    try {
+      return await this.#dispatcher.dispatch({ ...call, signal: abort.signal, confirmSend })
+    } catch (thrown) {
+      throw await this.#settleFailure(convertToAppError(thrown), claim)
+    } finally {
+      call.signal.removeEventListener('abort', handleAbort)
+    }
+  }
+
+  async #settleFailure (error: AppError, claim: Attempt): Promise<AppError> {
+    if (error.outcome !== 'not-run') {
+      this.#recordUnknown(claim)
+      return error
+    }
+    if (await this.#records.tryWithdraw(claim.id, claim.attempt)) return error
+    return new AppError('outcome-unknown', 'The call was not sent, but its idempotency key could not be released.', { cause: error })
+  }
+
+  /** Reads the whole answer although the caller left, stores it, then answers the caller. */
+  async #pipe (call: TargetCall, run: { answer: RunningAnswer, claim: Attempt }, response: ServerResponse): Promise<void> {
+    const { status, headers, body } = run.answer.response
+    const { bytes, rest } = await readAnswer(body, { maxBytes: MAX_BUFFERED_BYTES })
+    if (rest) {
+      await pipeAnswer(response, { status, headers, bytes, rest }, call.signal)
+      run.answer.settle(call.estimate)
+      await this.#record(run.claim, { kind: 'too-large' })
+      return
+    }
+    run.answer.settle(call.estimate)
+    const isTooLarge = bytes.length > MAX_STORED_BYTES
+    const stored: StoredResponse = isTooLarge ? { kind: 'too-large' } : { kind: 'complete', status, headers: selectHeaders(headers), body: Uint8Array.from(bytes) }
+    await this.#record(run.claim, stored)
+    if (!response.destroyed) sendAnswer(response, { status, headers, body: bytes, method: call.method })
+  }
+
+  /** Goes on in the background when control is slow: the caller's answer is known whether it is stored or not. */
+  async #record ({ id, attempt }: Attempt, response: StoredResponse): Promise<void> {
+    this.#running++
+    const stored = this.#records.complete(id, attempt, response).finally(() => { this.#running-- })
+    let timer: NodeJS.Timeout | undefined
+    const limit = new Promise<void>(resolve => { timer = setTimeout(resolve, STORE_TIMEOUT_MS) })
+    await Promise.race([stored, limit])
+    clearTimeout(timer)
+  }
+
+  #recordUnknown (claim: Attempt): void {
+    void this.#record(claim, { kind: 'unknown' })
+  }
+}
+
+function sendStored (response: ServerResponse, stored: StoredResponse, method: string): void {
+  if (stored.kind === 'complete') return sendAnswer(response, { status: stored.status, headers: stored.headers, body: stored.body, method })
+  if (stored.kind === 'unknown') throw new AppError('outcome-unknown', 'The call with this idempotency key may have run.')
+  throw new AppError('outcome-unknown', 'The call with this idempotency key ran, but its response was too large to store.', { details: { reason: 'response-too-large' } })
+}
--- /dev/null
+++ b/src/instance/_lib/requestLeader/index.ts
@@ -0,0 +1,23 @@
+import { AppError } from '../../../contract/AppError'
+import { convertToAppError } from '../../../contract/convertToAppError'
+import type { LinkClient } from '../../../link/LinkClient'
+
+/**
+ * Sends a request to each control replica in turn until one answers it. Only for requests that may be repeated.
+ *
+ * @throws AppError `control-unavailable` if no replica answered.
+ */
+export async function requestLeader (replicas: readonly LinkClient[], message: { type: string, body: unknown }, timeoutMs: number): Promise<unknown> {
+  const deadlineAtMs = performance.now() + timeoutMs
+  let cause: AppError | undefined
+  for (const replica of replicas) {
+    const remainingMs = deadlineAtMs - performance.now()
+    if (remainingMs <= 0) break
+    try {
+      return await replica.request(message.type, message.body, { timeoutMs: remainingMs / 2 })
+    } catch (thrown) {
+      cause = convertToAppError(thrown)
+    }
+  }
+  throw new AppError('control-unavailable', 'No control replica answered.', { cause })
+}
--- a/src/instance/startControl/index.ts
+++ b/src/instance/startControl/index.ts
@@ -8,11 +8,13 @@
 import type { ListenAddress } from '../../contract/ListenAddress'
 import { SettingsChange } from '../../contract/SettingsChange'
 import { SettingsChangeResult } from '../../contract/SettingsChangeResult'
+import { IdempotencyTable } from '../../idempotency/IdempotencyTable'
 import { LifecycleManager } from '../../lifecycle/LifecycleManager'
 import { LinkServer } from '../../link/LinkServer'
 import { TargetCommandTable } from '../../target/TargetCommandTable'
 import { createLogger } from '../../telemetry/createLogger'
 import { createPartLogger } from '../../telemetry/createPartLogger'
+import { addIdempotencyGroup } from '../_lib/addIdempotencyGroup'
 import { ControlLogs } from '../_lib/ControlLogs'
 import { createFetchReply } from '../_lib/createFetchReply'
 import { createObserverHandlers } from '../_lib/createObserverHandlers'
@@ -46,9 +48,10 @@
   const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'control')
   const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
   const tree = new SettingsTree()
+  const table = new IdempotencyTable()
   const logs = await ControlLogs.open({
     settings,
-    machines: { settings: tree, commands: new TargetCommandTable() },
+    machines: { settings: tree, commands: new TargetCommandTable(), idempotency: table },
     logger,
     onFatal: error => {
       logger.error('The process ends.', { kind: error.kind, reason: error.message })
@@ -59,7 +62,7 @@
   const identity: LinkIdentity = { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' }
   const { clusterKey } = settings
   const observerHandlers = createObserverHandlers(observers, request => createFetchReply(logs.getLog('settings'), tree, request))
-  const links = new LinkServer({ identity, clusterKey, handlers: new Map([...observerHandlers, ...logs.handlers]) })
+  const links = new LinkServer({ identity, clusterKey, handlers: new Map([...observerHandlers, ...addIdempotencyGroup({ table, logs, lifecycle })]) })
   const link = await links.listen(settings.link)
   lifecycle.register('links', () => links.close())
   logs.start({ identity, clusterKey })
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import type { SettingsView } from '../../configuration/SettingsView'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import type { RouterSettings } from '../../contract/RouterSettings'
 import { LinkServer } from '../../link/LinkServer'
@@ -10,8 +11,10 @@
 import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
 import { createTelemetry } from '../_lib/createTelemetry'
+import { startIdempotency } from '../_lib/startIdempotency'
 import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
+import { KeyedCallRunner } from '../KeyedCallRunner'
 import { observeCalls } from '../observeCalls'
 import { registerRouterReadings } from '../registerRouterReadings'
 import { sendMetrics } from '../sendMetrics'
@@ -42,8 +45,9 @@
   const directory = createPeerDirectory(settings, logger, lifecycle)
   const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
   const handlers = new Map(configuration.handlers)
+  const incarnation = randomUUID()
   const linkOptions: LinkOptions = {
-    identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
+    identity: { instance: settings.instance, incarnation, zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
     handlers,
     onLink: link => telemetry.traffic.add(link),
@@ -55,9 +59,13 @@
   configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, logger: telemetry.createLogger('schedule') })
-  const dispatcher = new CallDispatcher({ gate, targets, running: new RunningWork(), isTargetOpen: target => !view.isDrainedByOperator(target) })
-  const calls = new CallHandler({ view, relay: new AnswerRelay(dispatcher), maxBodyBytes: settings.maxBodyBytes })
+  const isTargetOpen = (target: string): boolean => !view.isDrainedByOperator(target)
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, logger: telemetry.createLogger('schedule') })
+  const running = new RunningWork()
+  const dispatcher = new CallDispatcher({ gate, targets, running, isTargetOpen })
+  const records = startIdempotency({ incarnation, control: configuration.control, lifecycle, listClosed: () => listClosed(view, running, isTargetOpen) })
+  const keyed = new KeyedCallRunner(dispatcher, records)
+  const calls = new CallHandler({ view, relay: new AnswerRelay(dispatcher), keyed, maxBodyBytes: settings.maxBodyBytes })
   registerRouterReadings(metrics, { view, gate })
   const handleCompletion = observeCalls(observer, (request, response, observation) => calls.handleCompletion(request, response, observation))
   const handleService = observeCalls(observer, (request, response, observation) => calls.handleService(request, response, observation))
@@ -76,3 +84,8 @@
   logger.info('Started.', { port: http.port })
   return { http, link, close: () => lifecycle.close() }
 }
+
+function listClosed (view: SettingsView, running: RunningWork, isTargetOpen: (target: string) => boolean): Array<{ target: string, running: number }> {
+  const closed = view.listAllTargets().filter(({ name }) => !isTargetOpen(name))
+  return closed.map(({ name }) => ({ target: name, running: running.count(name) }))
+}
--- /dev/null
+++ b/src/lease/LeaseHolder/index.ts
@@ -0,0 +1,38 @@
+/**
+ * @name LeaseHolder
+ * @category Lease
+ * @summary The holder's side of a lease.
+ *
+ * @description
+ * The lease counts from the moment a renewal is sent, not from its reply, so it ends here before it ends at the grantor,
+ * whatever the delay of the messages. All times are milliseconds of the holder's monotonic clock.
+ *
+ * @param options - `durationMs`: how long a renewal lasts.
+ *
+ * @example
+ * const lease = new LeaseHolder({ durationMs: 5000 })
+ * lease.confirmRenewal(sentAtMs)
+ * lease.isHeld(performance.now())
+ */
+export class LeaseHolder {
+  readonly #durationMs: number
+  #endsAtMs = -Infinity
+
+  constructor (options: { durationMs: number }) {
+    this.#durationMs = options.durationMs
+  }
+
+  isHeld (nowMs: number): boolean {
+    return nowMs < this.#endsAtMs
+  }
+
+  /** Takes the reply to a renewal that was sent at the given time. Replies may arrive late and out of order. */
+  confirmRenewal (sentAtMs: number): void {
+    this.#endsAtMs = Math.max(this.#endsAtMs, sentAtMs + this.#durationMs)
+  }
+
+  /** Ends the lease at once, because the grantor refused it. */
+  revoke (): void {
+    this.#endsAtMs = -Infinity
+  }
+}
--- a/src/target/AnswerRelay/index.ts
+++ b/src/target/AnswerRelay/index.ts
@@ -3,13 +3,12 @@
 import type { CallDispatcher } from '../CallDispatcher'
 import { computeCost } from '../computeCost'
 import { EventStreamRelay } from '../EventStreamRelay'
+import { MAX_BUFFERED_BYTES } from '../MAX_BUFFERED_BYTES'
+import { pipeAnswer } from '../pipeAnswer'
 import { readAnswer } from '../readAnswer'
 import type { RunningAnswer } from '../RunningAnswer'
-import { selectHeaders } from '../selectHeaders'
+import { sendAnswer } from '../sendAnswer'
 import type { TargetCall } from '../TargetCall'
-import { writeChunk } from '../writeChunk'
-
-const MAX_BUFFERED_BYTES = 64 * 1024
 
 /**
  * @name AnswerRelay
@@ -65,11 +64,8 @@
     const hop = call.trace.startHop('stream', { target: answer.target })
     try {
       const { bytes, rest } = await readAnswer(body, { maxBytes: MAX_BUFFERED_BYTES })
-      if (rest) await pipeRest(call, answer, { response, bytes, rest })
-      else {
-        const declaredLength = call.method === 'HEAD' ? headers['content-length'] : undefined
-        sendComplete(response, { status, headers: selectHeaders(headers), bytes, declaredLength })
-      }
+      if (rest) await pipeAnswer(response, { status, headers, bytes, rest }, call.signal)
+      else sendAnswer(response, { status, headers, body: bytes, method: call.method })
       answer.settle((call.isCompletion ? computeCost(bytes.toString('utf8')) : undefined) ?? call.estimate)
       hop.stop()
       return undefined
@@ -87,20 +83,3 @@
   const { status, headers } = answer.response
   return call.isCompletion && status === 200 && String(headers['content-type'] ?? '').startsWith('text/event-stream')
 }
-
-function sendComplete (response: ServerResponse, answer: { status: number, headers: Record<string, string | string[]>, bytes: Buffer, declaredLength?: string | string[] }): void {
-  const { status, headers, bytes, declaredLength } = answer
-  const hasBody = status !== 204 && status !== 304
-  if (hasBody) response.setHeader('content-length', declaredLength ?? bytes.length)
-  response.writeHead(status, { ...headers, 'papayalead-outcome': 'complete' })
-  response.end(bytes)
-}
-
-async function pipeRest (call: TargetCall, answer: RunningAnswer, parts: { response: ServerResponse, bytes: Buffer, rest: AsyncIterator<Buffer> }): Promise<void> {
-  const { response, bytes, rest } = parts
-  response.writeHead(answer.response.status, { ...selectHeaders(answer.response.headers), trailer: 'papayalead-outcome' })
-  await writeChunk(response, bytes, call.signal)
-  for (let next = await rest.next(); !next.done; next = await rest.next()) await writeChunk(response, next.value, call.signal)
-  response.addTrailers({ 'papayalead-outcome': 'complete' })
-  response.end()
-}
