Add the operator API and the commands of operators

Cause: operators had only 'set' without credentials; there was no reading of settings, no history, no status, no drain and no backup. Change: the control process serves settings, changes, diff, history, status, drain, undrain, backup and restore to operators whose tokens are bound to subtrees; a follower forwards to the leader. Hashes are replaced by placeholders that a conditional change may carry back. Routers report what they do to every control replica, so that status can tell draining from drained.

--- /dev/null
+++ b/src/command/OperatorClient/index.ts
@@ -0,0 +1,124 @@
+import { setTimeout as wait } from 'node:timers/promises'
+import { Agent } from 'undici'
+import { z } from 'zod'
+import { AppError } from '../../contract/AppError'
+import { ErrorKind } from '../../contract/ErrorKind'
+import { Outcome } from '../../contract/Outcome'
+
+const CONNECT_TIMEOUT_MS = 1_000
+const RESPONSE_TIMEOUT_MS = 10_000
+const RETRY_DELAY_MS = 200
+const DEFAULT_TIMEOUT_MS = 15_000
+/** Refusals after which another control instance may serve the request. */
+const TRY_NEXT: ReadonlySet<ErrorKind> = new Set(['not-leader', 'control-unavailable', 'shutting-down'])
+
+const ErrorBody = z.object({ error: z.object({ kind: ErrorKind, message: z.string(), outcome: Outcome, details: z.record(z.string(), z.unknown()).optional() }) })
+
+interface OperatorClientOptions {
+  /** Origins of the control instances. */
+  controls: readonly string[]
+  token?: string
+  /** How long to try all instances. */
+  timeoutMs?: number
+}
+
+interface OperatorCall {
+  method: 'GET' | 'POST'
+  path: string
+  query?: Record<string, string | number | undefined>
+  body?: unknown
+  /** Time that the control instance may wait before it responds. */
+  waitMs?: number
+}
+
+/**
+ * @name OperatorClient
+ * @category Command
+ * @summary Sends requests to the operator API of whichever control instance serves them.
+ *
+ * @description
+ * Tries the instances in turn until one responds or the time is over. A change may be sent more than once after a lost
+ * response; its change id makes that safe, so the body of each change must carry one.
+ *
+ * @param options - Control instances, token and time limit in milliseconds.
+ *
+ * @example
+ * const client = new OperatorClient({ controls: ['http://127.0.0.1:8090'], token })
+ * const status = await client.request({ method: 'GET', path: '/v1/status' })
+ */
+export class OperatorClient {
+  readonly #options: OperatorClientOptions
+  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } })
+  #index = 0
+
+  constructor (options: OperatorClientOptions) {
+    this.#options = options
+  }
+
+  /**
+   * @throws AppError of the kind that the control instance answered, or `control-unavailable`: its outcome is `unknown`
+   * if a control instance may have run the request.
+   */
+  async request (call: OperatorCall): Promise<unknown> {
+    const { controls, timeoutMs = DEFAULT_TIMEOUT_MS } = this.#options
+    const deadlineAtMs = performance.now() + timeoutMs
+    let last = new AppError('control-unavailable', 'No control instance is given.')
+    let isUncertain = false
+    do {
+      for (let tried = 0; tried < controls.length; tried++) {
+        const reply = await this.#tryRequest(controls[this.#index], call)
+        if (!(reply instanceof AppError)) return reply.body
+        if (!TRY_NEXT.has(reply.kind)) throw reply
+        last = reply
+        isUncertain ||= reply.outcome === 'unknown'
+        this.#index = (this.#index + 1) % controls.length
+      }
+      await wait(RETRY_DELAY_MS)
+    } while (performance.now() < deadlineAtMs)
+    const outcome = isUncertain && call.method === 'POST' ? 'unknown' : 'not-run'
+    throw new AppError('control-unavailable', `No control instance served the request: ${last.message}`, { cause: last, outcome })
+  }
+
+  close (): Promise<void> {
+    return this.#agent.destroy()
+  }
+
+  async #tryRequest (origin: string, call: OperatorCall): Promise<{ body: unknown } | AppError> {
+    const { token } = this.#options
+    const headers: Record<string, string> = token === undefined ? {} : { authorization: `Bearer ${token}` }
+    const limitMs = RESPONSE_TIMEOUT_MS + (call.waitMs ?? 0)
+    try {
+      const response = await this.#agent.request({
+        origin,
+        method: call.method,
+        path: call.path + formatQuery(call),
+        headers: call.body === undefined ? headers : { ...headers, 'content-type': 'application/json' },
+        body: call.body === undefined ? undefined : JSON.stringify(call.body),
+        headersTimeout: limitMs,
+        bodyTimeout: limitMs
+      })
+      const text = await response.body.text()
+      return response.statusCode < 300 ? { body: JSON.parse(text) } : parseError(text, origin)
+    } catch (cause) {
+      const isSent = !['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'ENOTFOUND'].includes((cause as { code?: string }).code ?? '')
+      return new AppError('control-unavailable', `${origin} did not respond.`, { cause, outcome: isSent ? 'unknown' : 'not-run' })
+    }
+  }
+}
+
+function formatQuery (call: OperatorCall): string {
+  const query = new URLSearchParams()
+  for (const [name, value] of Object.entries({ ...call.query, waitMs: call.waitMs })) {
+    if (value !== undefined) query.set(name, String(value))
+  }
+  return query.size > 0 ? `?${query.toString()}` : ''
+}
+
+function parseError (text: string, origin: string): AppError {
+  try {
+    const { kind, message, outcome, details } = ErrorBody.parse(JSON.parse(text)).error
+    return new AppError(kind, message, { outcome, details })
+  } catch (cause) {
+    return new AppError('control-unavailable', `${origin} is not a control instance.`, { cause })
+  }
+}
--- /dev/null
+++ b/src/command/OperatorCommand/index.ts
@@ -0,0 +1,65 @@
+import { randomUUID } from 'node:crypto'
+import { Command, Flags } from '@oclif/core'
+import { AppError } from '../../contract/AppError'
+import { convertToAppError } from '../../contract/convertToAppError'
+import { OperatorClient } from '../OperatorClient'
+
+const MS_PER_S = 1_000
+const DEFAULT_WAIT_S = 10
+
+interface OperatorFlags {
+  control: string[]
+  token?: string
+  json: boolean
+}
+
+interface EffectResult {
+  behind?: string[]
+}
+
+/** Base of the commands that talk to the operator API. */
+export abstract class OperatorCommand extends Command {
+  static override baseFlags = {
+    control: Flags.string({ required: true, multiple: true, multipleNonGreedy: true, delimiter: ',', env: 'PAPAYALEAD_CONTROL', description: 'URL of a control instance; several are tried in turn' }),
+    token: Flags.string({ env: 'PAPAYALEAD_TOKEN', description: 'operator token; prefer the environment variable, because arguments are visible to other users' }),
+    json: Flags.boolean({ description: 'print JSON in place of a table' })
+  }
+
+  /** Flags of commands that change settings. */
+  static readonly changeFlags = {
+    'change-id': Flags.string({ description: 'id of the change; a resend with the same id is applied once' }),
+    wait: Flags.boolean({ description: 'wait until every live router has applied the change' }),
+    timeout: Flags.integer({ default: DEFAULT_WAIT_S, min: 1, max: 60, description: 'seconds to wait with --wait' })
+  }
+
+  /** Sends one request and prints the result. */
+  protected async runRequest<T> (flags: OperatorFlags, call: Parameters<OperatorClient['request']>[0], render: (result: T) => string): Promise<T> {
+    const client = new OperatorClient({ controls: flags.control, token: flags.token })
+    try {
+      const result = await client.request(call) as T
+      this.log(flags.json ? JSON.stringify(result) : render(result))
+      return result
+    } finally {
+      await client.close()
+    }
+  }
+
+  /** Sends a change; after a lost response the error names the change id with which a resend is safe. */
+  protected async runChange<T extends EffectResult> (flags: OperatorFlags & { 'change-id'?: string, wait: boolean, timeout: number }, call: { path: string, body: object }, render: (result: T) => string): Promise<void> {
+    const changeId = flags['change-id'] ?? randomUUID()
+    const waitMs = flags.wait ? flags.timeout * MS_PER_S : undefined
+    try {
+      const result = await this.runRequest<T>(flags, { method: 'POST', path: call.path, body: { ...call.body, changeId }, waitMs }, render)
+      checkEffect(result)
+    } catch (thrown) {
+      const error = convertToAppError(thrown)
+      if (error.outcome !== 'unknown') throw error
+      throw new AppError(error.kind, `${error.message} Repeat the command with --change-id ${changeId}.`, { cause: error, outcome: 'unknown' })
+    }
+  }
+}
+
+function checkEffect (result: EffectResult): void {
+  if (!result.behind?.length) return
+  throw new AppError('deadline-exceeded', `The change is accepted, but not yet in effect on ${result.behind.join(', ')}.`, { outcome: 'complete' })
+}
--- a/src/command/SetCommand/index.ts
+++ b/src/command/SetCommand/index.ts
@@ -1,28 +1,31 @@
-import { randomUUID } from 'node:crypto'
-import { Args, Command, Flags } from '@oclif/core'
-import { request } from 'undici'
-import { resolveSubtree } from '../../configuration/resolveSubtree'
+import { Args, Flags } from '@oclif/core'
+import { AppError } from '../../contract/AppError'
+import { OperatorCommand } from '../OperatorCommand'
+import { renderChangeResult } from '../renderChangeResult'
 
 /** `papayalead set`: changes one setting. */
-export class SetCommand extends Command {
+export class SetCommand extends OperatorCommand {
   static override id = 'set'
   static override description = 'Set the value at a path.'
   static override args = { path: Args.string({ required: true }), value: Args.string({ required: true, description: 'JSON' }) }
   static override flags = {
-    control: Flags.string({ required: true, env: 'PAPAYALEAD_CONTROL', description: 'URL of a control instance' })
+    ...OperatorCommand.changeFlags,
+    expect: Flags.integer({ min: 0, description: 'apply only if the subtree is at this revision' })
   }
 
+  static override examples = ['<%= config.bin %> set /teams/sales/services/llama \'{"kind":"completion"}\' --expect 3 --wait']
+
   async run (): Promise<void> {
     const { args, flags } = await this.parse(SetCommand)
-    const change = {
-      changeId: randomUUID(),
-      subtree: resolveSubtree(args.path),
-      operations: [{ path: args.path, value: JSON.parse(args.value) }],
-      operator: 'operator',
-      atMs: Date.now()
-    }
-    const response = await request(`${flags.control}/v1/changes`, { method: 'POST', body: JSON.stringify(change) })
-    this.log(await response.body.text())
-    if (response.statusCode !== 200) this.exit(1)
+    const body = { expectedRevision: flags.expect, operations: [{ path: args.path, value: parseValue(args.value) }] }
+    await this.runChange(flags, { path: '/v1/changes', body }, renderChangeResult)
+  }
+}
+
+function parseValue (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (cause) {
+    throw new AppError('bad-request', 'The value is not valid JSON.', { cause })
   }
 }
--- /dev/null
+++ b/src/command/loadDocument/index.ts
@@ -0,0 +1,31 @@
+import { findSettingSchema } from '../../configuration/findSettingSchema'
+import { loadSettingsFile } from '../../configuration/loadSettingsFile'
+import { SettingsDocument } from '../../contract/SettingsDocument'
+
+const CheckedDocument = SettingsDocument.superRefine((document, context) => {
+  for (const [path, value] of Object.entries(document)) {
+    const schema = findSettingSchema(path)
+    if (!schema) context.addIssue({ code: 'custom', path: [path], message: 'no setting has this path' })
+    const result = value === null ? undefined : schema?.safeParse(value)
+    for (const issue of result?.error?.issues ?? []) context.addIssue({ code: 'custom', path: [path, ...issue.path], message: issue.message })
+  }
+})
+
+/**
+ * @name loadDocument
+ * @category Command
+ * @summary Reads a settings document and checks each value.
+ *
+ * @description
+ * Placeholders of hidden hashes are refused here, because a file must be complete to be applied to another fleet.
+ *
+ * @param file - Path of the file, in JSON with comments.
+ * @returns The settings by path.
+ * @throws AppError `invalid-settings` with file, line, path and what was expected.
+ *
+ * @example
+ * const document = loadDocument('sales.jsonc')
+ */
+export function loadDocument (file: string): SettingsDocument {
+  return loadSettingsFile(file, CheckedDocument)
+}
--- /dev/null
+++ b/src/command/printError/index.ts
@@ -0,0 +1,20 @@
+import type { AppError } from '../../contract/AppError'
+import { errorTable } from '../../contract/errorTable'
+
+/**
+ * @name printError
+ * @category Command
+ * @summary Writes an error to standard error and sets the exit code of its kind.
+ *
+ * @param error - The error.
+ * @param options - `isJson`: in the form of the HTTP API in place of a sentence.
+ *
+ * @example
+ * printError(new AppError('not-found', 'There is no target r9.'), { isJson: false })
+ */
+export function printError (error: AppError, options: { isJson: boolean }): void {
+  const { kind, message, outcome, details } = error
+  const text = options.isJson ? JSON.stringify({ error: { kind, message, outcome, details } }) : `${kind}: ${message} (outcome: ${outcome})`
+  process.stderr.write(`${text}\n`)
+  process.exitCode = errorTable[kind].exitCode
+}
--- a/src/command/runCommandLine/index.ts
+++ b/src/command/runCommandLine/index.ts
@@ -1,16 +1,33 @@
 import { Command, Config, handle, type Interfaces, run } from '@oclif/core'
 import pjson from '../../../package.json'
+import { AppError } from '../../contract/AppError'
+import { ApplyCommand } from '../ApplyCommand'
+import { BackupCommand } from '../BackupCommand'
+import { CheckCommand } from '../CheckCommand'
 import { ControlCommand } from '../ControlCommand'
+import { DeleteCommand } from '../DeleteCommand'
+import { DiffCommand } from '../DiffCommand'
+import { DrainCommand } from '../DrainCommand'
+import { GetCommand } from '../GetCommand'
+import { HistoryCommand } from '../HistoryCommand'
+import { ListCommand } from '../ListCommand'
+import { printError } from '../printError'
+import { RestoreCommand } from '../RestoreCommand'
 import { RouterCommand } from '../RouterCommand'
 import { SetCommand } from '../SetCommand'
 import { StandInCommand } from '../StandInCommand'
+import { StatusCommand } from '../StatusCommand'
+import { UndrainCommand } from '../UndrainCommand'
 
-const COMMANDS = [ControlCommand, RouterCommand, SetCommand, StandInCommand]
+const COMMANDS = [
+  RouterCommand, ControlCommand, CheckCommand, GetCommand, SetCommand, DeleteCommand, ListCommand, HistoryCommand, ApplyCommand,
+  DiffCommand, StatusCommand, DrainCommand, UndrainCommand, BackupCommand, RestoreCommand, StandInCommand
+]
 
 /** Describes a command class in the form that oclif otherwise reads from files, which a bundle does not have. */
 function createEntry (command: typeof Command): Command.Loadable {
-  const { id, flags, args, description } = command
-  const entry = { id, flags, args, description, aliases: [], hiddenAliases: [], hidden: false, strict: true, pluginName: pjson.name, pluginType: 'core' }
+  const { id, baseFlags, flags, args, description, examples } = command
+  const entry = { id, flags: { ...baseFlags, ...flags }, args, description, examples, aliases: [], hiddenAliases: [], hidden: false, strict: true, pluginName: pjson.name, pluginType: 'core' }
   return { ...entry, load: async () => command } as unknown as Command.Loadable
 }
 
@@ -59,6 +76,7 @@
     await config.load()
     await run(argv, config)
   } catch (error) {
-    await handle(error as Error)
+    if (!(error instanceof AppError)) return handle(error as Error)
+    printError(error, { isJson: argv.includes('--json') })
   }
 }
--- /dev/null
+++ b/src/configuration/SettingsHistory/index.ts
@@ -0,0 +1,38 @@
+import type { SettingsHistoryEntry } from '../../contract/SettingsHistoryEntry'
+
+const MAX_ENTRIES = 1_000
+
+/**
+ * @name SettingsHistory
+ * @category Configuration
+ * @summary The newest accepted changes of the settings.
+ *
+ * @description
+ * Part of the state machine, so that every replica has the same history, also after a restart from a snapshot.
+ *
+ * @example
+ * const history = new SettingsHistory()
+ * history.list('/teams/sales', { maxEntries: 20 })
+ */
+export class SettingsHistory {
+  #entries: SettingsHistoryEntry[] = []
+
+  record (entry: SettingsHistoryEntry): void {
+    this.#entries.push(entry)
+    if (this.#entries.length > MAX_ENTRIES) this.#entries.shift()
+  }
+
+  /** Entries that touch the prefix, newest first. */
+  list (prefix: string, options: { maxEntries: number }): SettingsHistoryEntry[] {
+    const isTouched = (path: string): boolean => prefix === '/' || path === prefix || path.startsWith(`${prefix}/`)
+    return this.#entries.filter(entry => [...entry.paths, ...entry.deletedPaths].some(isTouched)).slice(-options.maxEntries).reverse()
+  }
+
+  getState (): SettingsHistoryEntry[] {
+    return [...this.#entries]
+  }
+
+  install (entries: readonly SettingsHistoryEntry[]): void {
+    this.#entries = [...entries]
+  }
+}
--- a/src/configuration/SettingsState/index.ts
+++ b/src/configuration/SettingsState/index.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod'
 import { SettingsChangeResult } from '../../contract/SettingsChangeResult'
+import { SettingsHistoryEntry } from '../../contract/SettingsHistoryEntry'
 
 /**
  * @name SettingsState
@@ -8,7 +9,7 @@
  *
  * @description
  * `values`: JSON by path. `revisions`: revision by subtree. `results`: result by change id, so that a resent change
- * gets its first result. `offset`: log offset up to which the state is complete.
+ * gets its first result. `history`: the newest accepted changes. `offset`: log offset up to which the state is complete.
  *
  * @example
  * SettingsState.parse({ offset: 0, values: {}, revisions: {}, results: {} })
@@ -17,6 +18,7 @@
   offset: z.number().int().nonnegative(),
   values: z.record(z.string(), z.json()),
   revisions: z.record(z.string(), z.number()),
-  results: z.record(z.string(), SettingsChangeResult)
+  results: z.record(z.string(), SettingsChangeResult),
+  history: z.array(SettingsHistoryEntry).default([])
 })
 export type SettingsState = z.infer<typeof SettingsState>
--- a/src/configuration/SettingsTree/index.ts
+++ b/src/configuration/SettingsTree/index.ts
@@ -1,7 +1,10 @@
 import { SettingsChange } from '../../contract/SettingsChange'
 import type { SettingsChangeResult } from '../../contract/SettingsChangeResult'
+import type { SettingsHistoryEntry } from '../../contract/SettingsHistoryEntry'
 import { findSettingSchema } from '../findSettingSchema'
 import { resolveSubtree } from '../resolveSubtree'
+import { restoreHashes } from '../restoreHashes'
+import { SettingsHistory } from '../SettingsHistory'
 import { SettingsState } from '../SettingsState'
 
 type Values = SettingsState['values']
@@ -31,6 +34,7 @@
   readonly #revisions = new Map<string, number>()
   readonly #results = new Map<string, SettingsChangeResult>()
   readonly #ownerByName = new Map<string, string>()
+  readonly #history = new SettingsHistory()
 
   get offset (): number {
     return this.#offset
@@ -62,12 +66,17 @@
     return result
   }
 
+  listHistory (prefix: string, options: { maxEntries: number }): SettingsHistoryEntry[] {
+    return this.#history.list(prefix, options)
+  }
+
   getState (): SettingsState {
     return {
       offset: this.#offset,
       values: Object.fromEntries(this.#values),
       revisions: Object.fromEntries(this.#revisions),
-      results: Object.fromEntries(this.#results)
+      results: Object.fromEntries(this.#results),
+      history: this.#history.getState()
     }
   }
 
@@ -82,6 +91,7 @@
       map.clear()
       for (const [key, value] of Object.entries(record)) map.set(key, value)
     }
+    this.#history.install(state.history)
     this.#ownerByName.clear()
     for (const path of this.#values.keys()) this.#registerName(path)
   }
@@ -95,14 +105,23 @@
   }
 
   #applyOnce (change: SettingsChange, offset: number): SettingsChangeResult {
-    const refusal = this.#checkRevision(change) ?? this.#checkOperations(change)
+    const operations = change.operations.map(({ path, value }) => ({ path, value: restoreHashes(value, this.get(path)) }))
+    const refusal = this.#checkRevision(change) ?? this.#checkOperations({ ...change, operations })
     if (refusal) return refusal
-    for (const { path, value } of change.operations) this.#set(path, value)
+    for (const { path, value } of operations) this.#set(path, value)
     const revision = this.getRevision(change.subtree) + 1
     this.#revisions.set(change.subtree, revision)
+    this.#recordHistory(change, { revision, offset })
     return { status: 'accepted', revision, offset }
   }
 
+  #recordHistory (change: SettingsChange, position: { revision: number, offset: number }): void {
+    const { operator, atMs, subtree, operations } = change
+    const paths = operations.filter(({ value }) => value !== null).map(({ path }) => path)
+    const deletedPaths = operations.filter(({ value }) => value === null).map(({ path }) => path)
+    this.#history.record({ ...position, operator, atMs, subtree, paths, deletedPaths })
+  }
+
   #checkRevision (change: SettingsChange): SettingsChangeResult | undefined {
     const revision = this.getRevision(change.subtree)
     if (change.expectedRevision === undefined || change.expectedRevision === revision) return undefined
--- /dev/null
+++ b/src/contract/SettingsBackup/index.ts
@@ -0,0 +1,17 @@
+import { z } from 'zod'
+
+/**
+ * @name SettingsBackup
+ * @category Contract
+ * @summary File of `papayalead backup`: every setting, with the hashes of keys and tokens.
+ *
+ * @example
+ * SettingsBackup.parse({ format: 'papayalead-settings', version: 1, offset: 0, values: {} })
+ */
+export const SettingsBackup = z.strictObject({
+  format: z.literal('papayalead-settings'),
+  version: z.literal(1),
+  offset: z.number().int().nonnegative(),
+  values: z.record(z.string().startsWith('/'), z.json())
+})
+export type SettingsBackup = z.infer<typeof SettingsBackup>
--- a/src/contract/SettingsChange/index.ts
+++ b/src/contract/SettingsChange/index.ts
@@ -14,7 +14,7 @@
  * SettingsChange.parse({ changeId: 'c1', subtree: '/teams/sales', operations: [{ path: '/teams/sales/drains/r1', value: null }], operator: 'ann', atMs: 0 })
  */
 export const SettingsChange = z.strictObject({
-  changeId: z.string().min(1).max(100),
+  changeId: z.string().min(1).max(200),
   subtree: z.string().startsWith('/'),
   expectedRevision: z.number().int().nonnegative().optional(),
   operations: z.array(z.strictObject({ path: z.string().startsWith('/'), value: z.json() })).min(1).max(1000),
--- /dev/null
+++ b/src/instance/FleetStatusTable/index.ts
@@ -0,0 +1,95 @@
+import type { SettingsTree } from '../../configuration/SettingsTree'
+import { SettingsView } from '../../configuration/SettingsView'
+import type { FleetStatus } from '../../contract/FleetStatus'
+import type { LinkIdentity } from '../../contract/LinkIdentity'
+import type { RouterStatus } from '../../contract/RouterStatus'
+import { OBSERVER_LIVE_MS } from '../_lib/OBSERVER_LIVE_MS'
+
+interface Entry extends RouterStatus {
+  peer: LinkIdentity
+  reportedAtMs: number
+}
+
+/**
+ * @name FleetStatusTable
+ * @category Instance
+ * @summary What the routers reported to this control replica.
+ *
+ * @description
+ * A router counts as live for 6.5 s after its newest report. Times are milliseconds of the monotonic clock.
+ *
+ * @param startedAtMs - When this process began to accept reports.
+ *
+ * @example
+ * const table = new FleetStatusTable(performance.now())
+ * table.record(link.peer, status, performance.now())
+ */
+export class FleetStatusTable {
+  readonly #startedAtMs: number
+  readonly #entries = new Map<string, Entry>()
+
+  constructor (startedAtMs: number) {
+    this.#startedAtMs = startedAtMs
+  }
+
+  record (peer: LinkIdentity, status: RouterStatus, nowMs: number): void {
+    this.#entries.set(peer.instance, { ...status, peer, reportedAtMs: nowMs })
+  }
+
+  /** Whether every router that is live has had the time to report. */
+  isSettled (nowMs: number): boolean {
+    return nowMs - this.#startedAtMs > OBSERVER_LIVE_MS
+  }
+
+  listInstances (nowMs: number): FleetStatus['instances'] {
+    return this.#listLive(nowMs).map(({ peer, isReady, offset, reportedAtMs, waiting, running }) => {
+      const ageMs = Math.round(nowMs - reportedAtMs)
+      return { instance: peer.instance, zone: peer.zone, isReady, offset, ageMs, waiting, running: countAll(running.map(([, count]) => count)) }
+    })
+  }
+
+  listTargets (tree: SettingsTree, nowMs: number): FleetStatus['targets'] {
+    const live = this.#listLive(nowMs)
+    return createView(tree).listAllTargets().map(({ name, service, zone, slots }) => {
+      const running = countAll(live.map(entry => findCount(entry.running, name)))
+      return { target: name, service, zone, slots, running, state: this.#getState(name, live, nowMs) }
+    })
+  }
+
+  listAccounts (tree: SettingsTree, nowMs: number): FleetStatus['accounts'] {
+    const activity = new Map<string, { waiting: number, running: number }>()
+    for (const [account, waiting, running] of this.#listLive(nowMs).flatMap(entry => entry.accounts)) {
+      const known = activity.get(account) ?? { waiting: 0, running: 0 }
+      activity.set(account, { waiting: known.waiting + waiting, running: known.running + running })
+    }
+    return createView(tree).listAccounts().map(({ name, weight }) => ({ account: name, weight, ...activity.get(name) ?? { waiting: 0, running: 0 } }))
+  }
+
+  #getState (target: string, live: readonly Entry[], nowMs: number): FleetStatus['targets'][number]['state'] {
+    const draining = live.filter(entry => entry.draining.includes(target))
+    if (draining.length === 0) return 'in-service'
+    const isEmpty = live.every(entry => findCount(entry.running, target) === 0)
+    return draining.length === live.length && isEmpty && this.isSettled(nowMs) ? 'drained' : 'draining'
+  }
+
+  #listLive (nowMs: number): Entry[] {
+    for (const [instance, { reportedAtMs }] of this.#entries) {
+      if (nowMs - reportedAtMs > OBSERVER_LIVE_MS) this.#entries.delete(instance)
+    }
+    return [...this.#entries.values()]
+  }
+}
+
+function createView (tree: SettingsTree): SettingsView {
+  const view = new SettingsView()
+  view.update(tree)
+  return view
+}
+
+function findCount (counts: ReadonlyArray<[string, number]>, target: string): number {
+  return counts.find(([name]) => name === target)?.[1] ?? 0
+}
+
+function countAll (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
--- /dev/null
+++ b/src/instance/StatusReporter/index.ts
@@ -0,0 +1,78 @@
+import type { SettingsView } from '../../configuration/SettingsView'
+import type { RouterStatus } from '../../contract/RouterStatus'
+import type { AdmissionGate } from '../../schedule/AdmissionGate'
+import type { RequestCounts } from '../../telemetry/RequestCounts'
+
+const REPORT_INTERVAL_MS = 2_000
+/** Reports after changes of the settings wait this long, so that a burst of changes makes one report. */
+const CHANGE_DELAY_MS = 20
+const DRAINING_INTERVAL_MS = 200
+const MAX_ACCOUNTS = 200
+
+interface StatusReporterOptions {
+  view: SettingsView
+  gate: AdmissionGate
+  counts: RequestCounts
+  isReady: () => boolean
+  /** Targets that this router sends no new work to, whatever the cause. */
+  listDraining: () => string[]
+  /** The control replicas. */
+  control: ReadonlyArray<{ send: (type: string, body: unknown) => unknown }>
+}
+
+/**
+ * @name StatusReporter
+ * @category Instance
+ * @summary Reports what a router does to every control replica.
+ *
+ * @description
+ * Reports every 2 s and after each change of the settings. While requests run on a draining target it reports every
+ * 200 ms, so that the end of the last one is known soon.
+ *
+ * @param options - The parts of the router, and the links to the control replicas.
+ *
+ * @example
+ * const reporter = new StatusReporter(options)
+ * reporter.start()
+ * reporter.stop()
+ */
+export class StatusReporter {
+  readonly #options: StatusReporterOptions
+  #timer?: NodeJS.Timeout
+  #removeListener = (): void => {}
+
+  constructor (options: StatusReporterOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#removeListener = this.#options.view.subscribe(() => this.#schedule(CHANGE_DELAY_MS))
+    this.#schedule(0)
+  }
+
+  stop (): void {
+    clearTimeout(this.#timer)
+    this.#removeListener()
+  }
+
+  #schedule (delayMs: number): void {
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(() => this.#report(), delayMs)
+  }
+
+  #report (): void {
+    const status = this.#createStatus()
+    for (const replica of this.#options.control) replica.send('reportStatus', status)
+    const hasDrainingWork = status.running.some(([target]) => status.draining.includes(target))
+    this.#schedule(hasDrainingWork ? DRAINING_INTERVAL_MS : REPORT_INTERVAL_MS)
+  }
+
+  #createStatus (): RouterStatus {
+    const { view, gate, counts, isReady, listDraining } = this.#options
+    const running = view.listAllTargets()
+      .map(({ name }): [string, number] => [name, gate.countRunning(name)])
+      .filter(([, count]) => count > 0)
+    const accounts = [...counts.list()].slice(0, MAX_ACCOUNTS).map(([name, { waiting, running }]): [string, number, number] => [name, waiting, running])
+    return { offset: view.offset, isReady: isReady(), waiting: gate.countWaiting(), running, draining: listDraining(), accounts }
+  }
+}
--- /dev/null
+++ b/src/instance/_lib/applyChange/index.ts
@@ -0,0 +1,44 @@
+import { randomUUID } from 'node:crypto'
+import type { z } from 'zod'
+import { removeHashes } from '../../../configuration/removeHashes'
+import { resolveSubtree } from '../../../configuration/resolveSubtree'
+import { AppError } from '../../../contract/AppError'
+import type { OperatorChange } from '../../../contract/OperatorChange'
+import type { SettingsChange } from '../../../contract/SettingsChange'
+import { SettingsChangeResult } from '../../../contract/SettingsChangeResult'
+import { checkSubtrees } from '../../checkSubtrees'
+import type { OperatorCall } from '../OperatorCall'
+
+const PLACEHOLDER = /"hidden:\d+"/
+
+type AcceptedChange = Extract<z.infer<typeof SettingsChangeResult>, { status: 'accepted' }>
+
+/**
+ * Commits a change in the operator's name. The change id is bound to the operator, so that it can't meet another
+ * operator's id.
+ */
+export async function applyChange (call: Pick<OperatorCall, 'log' | 'operator'>, change: OperatorChange): Promise<AcceptedChange> {
+  checkSubtrees(call.operator, change.operations.map(({ path }) => path))
+  // Placeholders refer to the stored hashes by their index, so they hold only for the revision that the operator saw.
+  if (change.expectedRevision === undefined && PLACEHOLDER.test(JSON.stringify(change.operations))) {
+    throw new AppError('invalid-settings', 'A change with hidden hashes needs the expected revision.')
+  }
+  const command: SettingsChange = {
+    changeId: `${call.operator.name}/${change.changeId ?? randomUUID()}`,
+    subtree: change.subtree ?? resolveSubtree(change.operations[0].path),
+    expectedRevision: change.expectedRevision,
+    operations: change.operations,
+    operator: call.operator.name,
+    atMs: Date.now()
+  }
+  return checkResult(SettingsChangeResult.parse(await call.log.propose(command)))
+}
+
+function checkResult (result: SettingsChangeResult): AcceptedChange {
+  if (result.status === 'accepted') return result
+  if (result.status === 'invalid') {
+    throw new AppError('invalid-settings', `${result.path}: ${result.reason}`, { details: { ...result } })
+  }
+  const values = Object.fromEntries(Object.entries(result.values).map(([path, value]) => [path, removeHashes(value)]))
+  throw new AppError('revision-conflict', `The subtree is at revision ${result.revision}.`, { details: { ...result, values } })
+}
--- /dev/null
+++ b/src/instance/_lib/createOperators/index.ts
@@ -0,0 +1,68 @@
+import type { ObserverTable } from '../../../configuration/ObserverTable'
+import type { SettingsTree } from '../../../configuration/SettingsTree'
+import type { ControlSettings } from '../../../contract/ControlSettings'
+import type { ObserverReport } from '../../../contract/ObserverReport'
+import { OperatorRequest } from '../../../contract/OperatorRequest'
+import type { QuorumStatus } from '../../../contract/QuorumStatus'
+import { RouterStatus } from '../../../contract/RouterStatus'
+import type { Link } from '../../../link/Link'
+import type { MessageHandler } from '../../../link/MessageHandler'
+import type { ReplicatedLog } from '../../../log/ReplicatedLog'
+import { createOperatorRoutes } from '../../createOperatorRoutes'
+import { FleetStatusTable } from '../../FleetStatusTable'
+import { OperatorApi } from '../../OperatorApi'
+import { sendMetrics } from '../../sendMetrics'
+import type { startHttpServer } from '../../startHttpServer'
+import type { createTelemetry } from '../createTelemetry'
+
+interface CreateOperatorsOptions {
+  settings: ControlSettings
+  telemetry: ReturnType<typeof createTelemetry>
+  tree: SettingsTree
+  log: ReplicatedLog
+  observers: ObserverTable
+  /** Reports of the observers that any replica hears from. */
+  collectReports: () => Promise<ObserverReport[]>
+  getQuorum: () => QuorumStatus
+  /** Sends the message `operatorRequest` to the leader; undefined while no leader is known. */
+  forward?: (request: OperatorRequest) => Promise<unknown> | undefined
+}
+
+interface Operators {
+  /** Routes of the HTTP server of the control process. */
+  routes: Parameters<typeof startHttpServer>[1]
+  /** Handlers for the links of the control process. */
+  handlers: ReadonlyMap<string, MessageHandler>
+}
+
+/** What the control process serves to operators, and the reports of routers that it needs for that. */
+export function createOperators (options: CreateOperatorsOptions): Operators {
+  const { settings, telemetry, log, observers, getQuorum } = options
+  const fleet = new FleetStatusTable(performance.now())
+  const api = new OperatorApi({ ...options, instance: settings.instance, bootstrapToken: settings.bootstrapToken, fleet })
+  telemetry.metrics.registerReading({
+    name: 'log_offset',
+    help: 'Committed offset of a log group.',
+    labels: ['group'],
+    read: () => [{ labels: { group: 'settings' }, value: log.commitOffset }]
+  })
+  const handleStatus = (body: unknown, link: Link): void => {
+    const status = RouterStatus.parse(body)
+    const { instance, incarnation, zone, role } = link.peer
+    if (role !== 'router') return
+    fleet.record(link.peer, status, performance.now())
+    observers.record({ instance, incarnation, zone, offset: status.offset, ageMs: 0 }, performance.now())
+  }
+  return {
+    routes: [
+      { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
+      { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(getQuorum().leader === undefined ? 503 : 200).end() } },
+      { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, telemetry.metrics) },
+      ...createOperatorRoutes(api, telemetry.createLogger('operator'))
+    ],
+    handlers: new Map<string, MessageHandler>([
+      ['reportStatus', handleStatus],
+      ['operatorRequest', body => api.handleForwarded(OperatorRequest.parse(body))]
+    ])
+  }
+}
--- a/src/instance/startControl/index.ts
+++ b/src/instance/startControl/index.ts
@@ -1,29 +1,22 @@
 import { randomUUID } from 'node:crypto'
 import { ObserverTable } from '../../configuration/ObserverTable'
 import { SettingsTree } from '../../configuration/SettingsTree'
-import { AppError } from '../../contract/AppError'
 import type { ControlSettings } from '../../contract/ControlSettings'
 import type { FetchLogRequest } from '../../contract/FetchLogRequest'
 import type { FetchLogReply } from '../../contract/FetchLogReply'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import { ProposeRequest } from '../../contract/ProposeRequest'
-import { SettingsChange } from '../../contract/SettingsChange'
-import { SettingsChangeResult } from '../../contract/SettingsChangeResult'
-import { LifecycleManager } from '../../lifecycle/LifecycleManager'
+import type { QuorumStatus } from '../../contract/QuorumStatus'
 import { LinkServer } from '../../link/LinkServer'
 import type { MessageHandler } from '../../link/MessageHandler'
 import { MemoryLog } from '../../log/MemoryLog'
 import type { ReplicatedLog } from '../../log/ReplicatedLog'
-import { createLogger } from '../../telemetry/createLogger'
-import { createPartLogger } from '../../telemetry/createPartLogger'
 import { createObserverHandlers } from '../_lib/createObserverHandlers'
+import { createOperators } from '../_lib/createOperators'
+import { createTelemetry } from '../_lib/createTelemetry'
 import { OBSERVER_LIVE_MS } from '../_lib/OBSERVER_LIVE_MS'
-import { parseJsonBody } from '../parseJsonBody'
-import { readBody } from '../readBody'
 import { startHttpServer } from '../startHttpServer'
 
-const MAX_CHANGE_BYTES = 4 * 1024 * 1024
-
 interface RunningControl {
   http: ListenAddress
   link: ListenAddress
@@ -44,44 +37,33 @@
  * await control.close()
  */
 export async function startControl (settings: ControlSettings): Promise<RunningControl> {
-  const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'control')
-  const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
+  const telemetry = createTelemetry(settings, 'control')
+  const { logger, lifecycle } = telemetry
   const tree = new SettingsTree()
   const log = new MemoryLog(tree)
   const observers = new ObserverTable({ liveMs: OBSERVER_LIVE_MS })
+  const operators = createOperators({
+    settings,
+    telemetry,
+    tree,
+    log,
+    observers,
+    collectReports: async () => observers.listLive(performance.now()),
+    getQuorum: () => createQuorumStatus(settings.instance, log)
+  })
   const links = new LinkServer({
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' },
     clusterKey: settings.clusterKey,
+    onLink: link => telemetry.traffic.add(link),
     handlers: new Map<string, MessageHandler>([
       ...createObserverHandlers(observers, request => fetchLog(log, request)),
+      ...operators.handlers,
       ['propose', body => log.propose(ProposeRequest.parse(body).command)]
     ])
   })
   const link = await links.listen(settings.link)
   lifecycle.register('links', () => links.close())
-  const { address: http, server } = await startHttpServer(settings.http, [
-    { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    {
-      method: 'get',
-      path: '/v1/settings',
-      handler: (request, response) => {
-        const prefix = new URL(request.url ?? '/', 'http://localhost').searchParams.get('prefix') ?? '/'
-        response.setHeader('content-type', 'application/json')
-        response.end(JSON.stringify({ offset: tree.offset, values: Object.fromEntries(tree.list(prefix)) }))
-      }
-    },
-    {
-      method: 'post',
-      path: '/v1/changes',
-      handler: async (request, response) => {
-        const parsed = SettingsChange.safeParse(parseJsonBody(await readBody(request, { maxBytes: MAX_CHANGE_BYTES })))
-        if (!parsed.success) throw new AppError('bad-request', 'The body is not a change.')
-        const result = SettingsChangeResult.parse(await log.propose(parsed.data))
-        response.writeHead(result.status === 'accepted' ? 200 : 409, { 'content-type': 'application/json' })
-        response.end(JSON.stringify(result))
-      }
-    }
-  ])
+  const { address: http, server } = await startHttpServer(settings.http, operators.routes)
   lifecycle.register('operators', () => new Promise<void>(resolve => {
     server.close(() => resolve())
     server.closeIdleConnections()
@@ -95,3 +77,7 @@
   const entries = log.listEntries(request.offset, request.maxEntries) ?? []
   return { entries, commitOffset: log.commitOffset, ageMs: 0 }
 }
+
+function createQuorumStatus (instance: string, log: ReplicatedLog): QuorumStatus {
+  return { role: 'leader', leader: instance, term: 1, commitOffset: log.commitOffset, replicas: [{ instance, isVoter: true, offset: log.commitOffset }] }
+}
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -13,6 +13,7 @@
 import { registerRouterReadings } from '../registerRouterReadings'
 import { sendMetrics } from '../sendMetrics'
 import { startHttpServer } from '../startHttpServer'
+import { StatusReporter } from '../StatusReporter'
 
 interface RunningRouter {
   http: ListenAddress
@@ -68,6 +69,16 @@
     server.close(() => resolve())
     server.closeIdleConnections()
   }))
+  const reporter = new StatusReporter({
+    view,
+    gate,
+    counts: telemetry.counts,
+    isReady: () => view.offset > 0,
+    listDraining: () => view.listAllTargets().map(({ name }) => name).filter(name => view.isDrainedByOperator(name)),
+    control: configuration.control
+  })
+  reporter.start()
+  lifecycle.register('status reports', () => reporter.stop())
   logger.info('Started.', { port: http.port })
   return { http, link, close: () => lifecycle.close() }
 }
--- a/test/_lib/startProcess/index.ts
+++ b/test/_lib/startProcess/index.ts
@@ -16,12 +16,15 @@
   stop: () => Promise<void>
 }
 
+/** Operator token that control processes of tests accept and commands of tests send, unless a test sets its own. */
+const OPERATOR_TOKEN = 'operator-token-for-tests'
 const BUNDLE = join(__dirname, '../../../dist/papayalead.cjs')
 
 /** Starts a process of the bundle and waits for its first line of output. Its settings file is written to a temporary directory. */
 export async function startProcess (args: string[], settings?: object): Promise<StartedProcess> {
-  const configFlags = settings ? ['--config', writeSettings(settings)] : []
-  const child = spawn(process.execPath, [BUNDLE, ...args, ...configFlags], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const defaults = args[0] === 'control' ? { bootstrapToken: OPERATOR_TOKEN } : {}
+  const configFlags = settings ? ['--config', writeSettings({ ...defaults, ...settings })] : []
+  const child = spawn(process.execPath, [BUNDLE, ...args, ...configFlags], { stdio: ['ignore', 'pipe', 'inherit'], env: { PAPAYALEAD_TOKEN: OPERATOR_TOKEN, ...process.env } })
   const exitCode = once(child, 'exit').then(([code]) => code as number | null)
   const [line] = await Promise.race([
     once(createInterface(child.stdout), 'line'),
--- /dev/null
+++ b/test/operatorApi.test.ts
@@ -0,0 +1,94 @@
+import { startEngine } from '../src/standIn/startEngine'
+import { startSmallFleet } from './_lib/startSmallFleet'
+
+const { hash } = startSmallFleet
+const SECRET_HASH = hash('key-a')
+const account = { keyHashes: [SECRET_HASH], services: ['*'] }
+const POLL_MS = 50
+
+describe('the operator API', () => {
+  let fleet: Awaited<ReturnType<typeof startSmallFleet>>
+  let engine: Awaited<ReturnType<typeof startEngine>> | undefined
+  beforeEach(async () => { fleet = await startSmallFleet() })
+  afterEach(async () => {
+    await engine?.close()
+    await fleet.stop()
+  })
+
+  const change = (path: string, value: unknown, more: object = {}, token?: string) => fleet.callControl('/v1/changes', { operations: [{ path, value }], ...more }, token)
+
+  it('binds operators to their subtrees and ends the bootstrap token with the first operator, so that a team can not change another one', async () => {
+    await fleet.set({ '/teams/s/accounts/q': account })
+    expect((await change('/fleet/operators/root', { tokenHash: hash('root-token'), subtrees: ['/'] })).status).toBe(200)
+    expect((await change('/teams/s/accounts/q', null)).body.error.kind).toBe('unauthenticated')
+    await change('/fleet/operators/ann', { tokenHash: hash('ann-token'), subtrees: ['/teams/s'] }, {}, 'root-token')
+    expect((await change('/teams/s/accounts/q', { ...account, weight: 2 }, {}, 'ann-token')).status).toBe(200)
+    for (const path of ['/teams/sx/accounts/z', '/fleet/operators/ann', '/fleet/weightStore']) {
+      expect((await change(path, null, {}, 'ann-token')).body.error).toMatchObject({ kind: 'forbidden', outcome: 'not-run' })
+    }
+    expect((await fleet.callControl('/v1/backup', undefined, 'ann-token')).body.error.kind).toBe('forbidden')
+    const { body } = await fleet.callControl('/v1/history?prefix=/teams/s', undefined, 'ann-token')
+    expect(body.changes.map((entry: any) => [entry.operator, entry.revision, entry.paths])).toEqual([['ann', 2, ['/teams/s/accounts/q']], ['bootstrap', 1, ['/teams/s/accounts/q']]])
+    expect(Math.abs(Date.now() - body.changes[0].atMs)).toBeLessThan(60_000)
+  })
+
+  it('never shows hashes, yet takes the placeholders back at the revision that was seen, so that an edit does not lose keys', async () => {
+    await fleet.set({ '/teams/s/accounts/q': { ...account, keyHashes: [hash('old'), SECRET_HASH] } })
+    const { body: setting } = await fleet.callControl('/v1/setting?path=/teams/s/accounts/q')
+    const edited = { ...setting.value, keyHashes: ['hidden:1'], weight: 5 }
+    expect((await change('/teams/s/accounts/q', edited)).body.error.kind).toBe('invalid-settings')
+    expect((await change('/teams/s/accounts/q', edited, { expectedRevision: setting.revision })).status).toBe(200)
+    const conflict = await change('/teams/s/accounts/q', edited, { expectedRevision: setting.revision })
+    expect([conflict.status, conflict.body.error.kind, conflict.body.error.details.values['/teams/s/accounts/q'].weight]).toEqual([409, 'revision-conflict', 5])
+    const answers = [setting, conflict.body, (await fleet.callControl('/v1/settings')).body, (await fleet.callControl('/v1/history')).body, (await fleet.callControl('/v1/diff', { values: {}, isPruned: true })).body]
+    expect(JSON.stringify(answers)).not.toContain(SECRET_HASH)
+    const { body: backup } = await fleet.callControl('/v1/backup')
+    expect(backup.values['/teams/s/accounts/q']).toEqual({ ...account, weight: 5 })
+  })
+
+  it('applies a resent change once, so that a lost response can not undo a later change', async () => {
+    const first = await change('/teams/s/accounts/q', account, { changeId: 'x' })
+    await change('/teams/s/accounts/q', { ...account, weight: 2 })
+    expect((await change('/teams/s/accounts/q', account, { changeId: 'x' })).body).toEqual(first.body)
+    expect((await fleet.callControl('/v1/setting?path=/teams/s/accounts/q')).body.value.weight).toBe(2)
+  })
+
+  it('restores a backup also when names have moved between teams since', async () => {
+    await fleet.set({ '/teams/s/accounts/q': account, '/teams/s/services/llama': { kind: 'completion' } })
+    const { body: backup } = await fleet.callControl('/v1/backup')
+    await fleet.set({ '/teams/s/accounts/q': null, '/teams/t/accounts/q': account })
+    await fleet.set({ '/teams/t/services/other': { kind: 'http' } })
+    const restore = await fleet.callControl('/v1/restore', { backup, changeId: 'r' })
+    expect(restore).toMatchObject({ status: 200, body: { set: 1, deleted: 2 } })
+    expect((await fleet.callControl('/v1/backup')).body.values).toEqual(backup.values)
+    const again = await fleet.callControl('/v1/restore', { backup, changeId: 'r' })
+    expect(again.body).toMatchObject({ set: 0, deleted: 0 })
+  })
+
+  it('reports a target as drained only after its last request, so that nobody cleans a target that works', async () => {
+    engine = await startEngine({ host: '127.0.0.1', port: 0 }, { maxBatch: 8, tokenMs: 100, firstTokenMs: 1 })
+    await fleet.set({
+      '/teams/s/accounts/q': account,
+      '/teams/s/services/llama': { kind: 'completion' },
+      '/teams/s/targets/e1': { service: 'llama', zone: 'z1', url: `http://127.0.0.1:${engine.address.port}`, slots: 4 }
+    })
+    const headers = { authorization: 'Bearer key-a' }
+    const complete = () => fetch(`${fleet.routerUrl}/v1/completions`, { method: 'POST', headers, body: JSON.stringify({ model: 'llama', stream: true, max_tokens: 80 }) })
+    const streaming = await complete()
+    const stream = { isOpen: true }
+    const text = streaming.text().finally(() => { stream.isOpen = false })
+    const drain = await fleet.callControl('/v1/drain?waitMs=5000', { target: 'e1', reason: 'filter' })
+    expect(drain.body).toMatchObject({ path: '/teams/s/drains/e1', applied: ['r1'], behind: [] })
+    expect((await (await complete()).json() as any).error).toMatchObject({ kind: 'no-target', outcome: 'not-run' })
+    const getState = async (): Promise<string> => (await fleet.callControl('/v1/status')).body.targets[0].state
+    while (stream.isOpen) {
+      const state = await getState()
+      if (stream.isOpen) expect(state).toBe('draining')
+      await new Promise(resolve => setTimeout(resolve, POLL_MS))
+    }
+    expect((await text).trimEnd().endsWith('[DONE]')).toBe(true)
+    while (await getState() !== 'drained') await new Promise(resolve => setTimeout(resolve, POLL_MS))
+    await fleet.callControl('/v1/undrain?waitMs=5000', { target: 'e1' })
+    expect((await complete()).status).toBe(200)
+  })
+})
--- a/test/thinPath.test.ts
+++ b/test/thinPath.test.ts
@@ -29,7 +29,7 @@
       ['/teams/t/targets/b1', { service: 'booking', zone: 'z1', url: `http://127.0.0.1:${booking.ready.http.port}`, slots: 4 }]
     ]
     for (const [path, value] of settings) {
-      const set = await startProcess(['set', path, JSON.stringify(value), '--control', controlUrl])
+      const set = await startProcess(['set', path, JSON.stringify(value), '--json', '--control', controlUrl])
       expect(await set.exitCode).toBe(0)
     }
     const url = `http://127.0.0.1:${router.ready.http.port}`
