--- a/src/command/StatusCommand/index.ts
+++ b/src/command/StatusCommand/index.ts
@@ -20,8 +20,8 @@
 function renderStatus (status: FleetStatus): string {
   const { quorum, instances, targets, accounts } = status
   const parts = [
-    `Settings log: ${quorum.role} ${status.answeredBy}, leader ${quorum.leader ?? 'unknown'}, term ${quorum.term}, offset ${quorum.commitOffset}.`,
-    renderTable(['REPLICA', 'VOTER', 'OFFSET'], quorum.replicas.map(({ instance, isVoter, offset }) => [instance, isVoter ? 'yes' : 'no', offset ?? '?'])),
+    `Answered by ${status.answeredBy} (${quorum.role}). Settings log: leader ${quorum.leader ?? 'unknown'}, term ${quorum.term}, offset ${quorum.commitOffset}.`,
+    renderTable(['REPLICA', 'VOTER', 'LAG'], quorum.replicas.map(({ instance, isVoter, lag }) => [instance, isVoter ? 'yes' : 'no', lag ?? '?'])),
     renderTable(['ROUTER', 'ZONE', 'READY', 'OFFSET', 'WAITING', 'RUNNING', 'REPORTED'], instances.map(router => [router.instance, router.zone, router.isReady ? 'yes' : 'no', router.offset, router.waiting, router.running, `${router.ageMs} ms ago`])),
     renderTable(['TARGET', 'SERVICE', 'ZONE', 'RUNNING', 'SLOTS', 'STATE'], targets.map(target => [target.target, target.service, target.zone, target.running, target.slots, target.state])),
     renderTable(['ACCOUNT', 'WEIGHT', 'WAITING', 'RUNNING'], accounts.map(({ account, weight, waiting, running }) => [account, weight, waiting, running]))
--- a/src/contract/OperatorRequest/index.ts
+++ b/src/contract/OperatorRequest/index.ts
@@ -3,7 +3,7 @@
 /**
  * @name OperatorRequest
  * @category Contract
- * @summary A request to the operator API; also the message `operatorRequest` by which a follower forwards it.
+ * @summary A request to the operator API.
  *
  * @description
  * `path` is without the query. `body` is the parsed JSON. `token` is the bearer token of the operator.
--- a/src/instance/_lib/applyChange/index.ts
+++ b/src/instance/_lib/applyChange/index.ts
@@ -17,7 +17,7 @@
  * Commits a change in the operator's name. The change id is bound to the operator, so that it can't meet another
  * operator's id.
  */
-export async function applyChange (call: Pick<OperatorCall, 'log' | 'operator'>, change: OperatorChange): Promise<AcceptedChange> {
+export async function applyChange (call: Pick<OperatorCall, 'getLog' | 'operator'>, change: OperatorChange): Promise<AcceptedChange> {
   checkSubtrees(call.operator, change.operations.map(({ path }) => path))
   // Placeholders refer to the stored hashes by their index, so they hold only for the revision that the operator saw.
   if (change.expectedRevision === undefined && PLACEHOLDER.test(JSON.stringify(change.operations))) {
@@ -31,7 +31,7 @@
     operator: call.operator.name,
     atMs: Date.now()
   }
-  return checkResult(SettingsChangeResult.parse(await call.log.propose(command)))
+  return checkResult(SettingsChangeResult.parse(await call.getLog().propose(command)))
 }
 
 function checkResult (result: SettingsChangeResult): AcceptedChange {
--- a/src/instance/_lib/createOperators/index.ts
+++ b/src/instance/_lib/createOperators/index.ts
@@ -1,31 +1,23 @@
 import type { ObserverTable } from '../../../configuration/ObserverTable'
 import type { SettingsTree } from '../../../configuration/SettingsTree'
 import type { ControlSettings } from '../../../contract/ControlSettings'
-import type { ObserverReport } from '../../../contract/ObserverReport'
-import { OperatorRequest } from '../../../contract/OperatorRequest'
-import type { QuorumStatus } from '../../../contract/QuorumStatus'
 import { RouterStatus } from '../../../contract/RouterStatus'
 import type { Link } from '../../../link/Link'
 import type { MessageHandler } from '../../../link/MessageHandler'
-import type { ReplicatedLog } from '../../../log/ReplicatedLog'
 import { createOperatorRoutes } from '../../createOperatorRoutes'
 import { FleetStatusTable } from '../../FleetStatusTable'
 import { OperatorApi } from '../../OperatorApi'
 import { sendMetrics } from '../../sendMetrics'
 import type { startHttpServer } from '../../startHttpServer'
 import type { createTelemetry } from '../createTelemetry'
+import type { OperatorCall } from '../OperatorCall'
 
 interface CreateOperatorsOptions {
   settings: ControlSettings
   telemetry: ReturnType<typeof createTelemetry>
   tree: SettingsTree
-  log: ReplicatedLog
+  getLog: OperatorCall['getLog']
   observers: ObserverTable
-  /** Reports of the observers that any replica hears from. */
-  collectReports: () => Promise<ObserverReport[]>
-  getQuorum: () => QuorumStatus
-  /** Sends the message `operatorRequest` to the leader; undefined while no leader is known. */
-  forward?: (request: OperatorRequest) => Promise<unknown> | undefined
 }
 
 interface Operators {
@@ -37,14 +29,21 @@
 
 /** What the control process serves to operators, and the reports of routers that it needs for that. */
 export function createOperators (options: CreateOperatorsOptions): Operators {
-  const { settings, telemetry, log, observers, getQuorum } = options
+  const { settings, telemetry, tree, getLog, observers } = options
   const fleet = new FleetStatusTable(performance.now())
-  const api = new OperatorApi({ ...options, instance: settings.instance, bootstrapToken: settings.bootstrapToken, fleet })
+  const api = new OperatorApi({
+    instance: settings.instance,
+    bootstrapToken: settings.bootstrapToken,
+    tree,
+    getLog,
+    fleet,
+    collectReports: async () => observers.listLive(performance.now())
+  })
   telemetry.metrics.registerReading({
     name: 'log_offset',
     help: 'Committed offset of a log group.',
     labels: ['group'],
-    read: () => [{ labels: { group: 'settings' }, value: log.commitOffset }]
+    read: () => [{ labels: { group: 'settings' }, value: getLog().commitOffset }]
   })
   const handleStatus = (body: unknown, link: Link): void => {
     const status = RouterStatus.parse(body)
@@ -56,13 +55,10 @@
   return {
     routes: [
       { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-      { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(getQuorum().leader === undefined ? 503 : 200).end() } },
+      { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(getLog().getStatus().leader === undefined ? 503 : 200).end() } },
       { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, telemetry.metrics) },
       ...createOperatorRoutes(api, telemetry.createLogger('operator'))
     ],
-    handlers: new Map<string, MessageHandler>([
-      ['reportStatus', handleStatus],
-      ['operatorRequest', body => api.handleForwarded(OperatorRequest.parse(body))]
-    ])
+    handlers: new Map<string, MessageHandler>([['reportStatus', handleStatus]])
   }
 }
--- a/src/instance/operatorRoutes/index.ts
+++ b/src/instance/operatorRoutes/index.ts
@@ -10,6 +10,7 @@
 import { OperatorChange } from '../../contract/OperatorChange'
 import { SettingsBackup } from '../../contract/SettingsBackup'
 import { SettingsDocument } from '../../contract/SettingsDocument'
+import { createQuorumStatus } from '../_lib/createQuorumStatus'
 import { applyChange } from '../_lib/applyChange'
 import type { OperatorCall } from '../_lib/OperatorCall'
 import { restoreBackup } from '../_lib/restoreBackup'
@@ -89,13 +90,13 @@
   return { changes: tree.listHistory(prefix, { maxEntries: limit }) }
 }
 
-function getStatus ({ instance, tree, fleet, getQuorum }: OperatorCall): FleetStatus {
+function getStatus ({ instance, tree, fleet, getLog }: OperatorCall): FleetStatus {
   const nowMs = performance.now()
   return {
     answeredBy: instance,
     isSettled: fleet.isSettled(nowMs),
     offset: tree.offset,
-    quorum: getQuorum(),
+    quorum: createQuorumStatus(getLog().getStatus()),
     instances: fleet.listInstances(nowMs),
     targets: fleet.listTargets(tree, nowMs),
     accounts: fleet.listAccounts(tree, nowMs)
--- a/src/instance/startControl/index.ts
+++ b/src/instance/startControl/index.ts
@@ -2,15 +2,13 @@
 import { ObserverTable } from '../../configuration/ObserverTable'
 import { SettingsTree } from '../../configuration/SettingsTree'
 import type { ControlSettings } from '../../contract/ControlSettings'
-import type { FetchLogRequest } from '../../contract/FetchLogRequest'
-import type { FetchLogReply } from '../../contract/FetchLogReply'
+import { errorTable } from '../../contract/errorTable'
+import type { LinkIdentity } from '../../contract/LinkIdentity'
 import type { ListenAddress } from '../../contract/ListenAddress'
-import { ProposeRequest } from '../../contract/ProposeRequest'
-import type { QuorumStatus } from '../../contract/QuorumStatus'
 import { LinkServer } from '../../link/LinkServer'
-import type { MessageHandler } from '../../link/MessageHandler'
-import { MemoryLog } from '../../log/MemoryLog'
-import type { ReplicatedLog } from '../../log/ReplicatedLog'
+import { TargetCommandTable } from '../../target/TargetCommandTable'
+import { ControlLogs } from '../_lib/ControlLogs'
+import { createFetchReply } from '../_lib/createFetchReply'
 import { createObserverHandlers } from '../_lib/createObserverHandlers'
 import { createOperators } from '../_lib/createOperators'
 import { createTelemetry } from '../_lib/createTelemetry'
@@ -40,29 +38,26 @@
   const telemetry = createTelemetry(settings, 'control')
   const { logger, lifecycle } = telemetry
   const tree = new SettingsTree()
-  const log = new MemoryLog(tree)
-  const observers = new ObserverTable({ liveMs: OBSERVER_LIVE_MS })
-  const operators = createOperators({
+  const logs = await ControlLogs.open({
     settings,
-    telemetry,
-    tree,
-    log,
-    observers,
-    collectReports: async () => observers.listLive(performance.now()),
-    getQuorum: () => createQuorumStatus(settings.instance, log)
-  })
-  const links = new LinkServer({
-    identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' },
-    clusterKey: settings.clusterKey,
-    onLink: link => telemetry.traffic.add(link),
-    handlers: new Map<string, MessageHandler>([
-      ...createObserverHandlers(observers, request => fetchLog(log, request)),
-      ...operators.handlers,
-      ['propose', body => log.propose(ProposeRequest.parse(body).command)]
-    ])
+    machines: { settings: tree, commands: new TargetCommandTable() },
+    logger: telemetry.createLogger('log'),
+    onFatal: error => {
+      logger.error('The process ends.', { kind: error.kind, reason: error.message })
+      process.exit(errorTable[error.kind].exitCode)
+    }
   })
+  const observers = new ObserverTable({ liveMs: OBSERVER_LIVE_MS })
+  const identity: LinkIdentity = { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' }
+  const { clusterKey } = settings
+  const observerHandlers = createObserverHandlers(observers, request => createFetchReply(logs.getLog('settings'), tree, request))
+  const operators = createOperators({ settings, telemetry, tree, getLog: () => logs.getLog('settings'), observers })
+  const handlers = new Map([...observerHandlers, ...logs.handlers, ...operators.handlers])
+  const links = new LinkServer({ identity, clusterKey, handlers, onLink: peer => telemetry.traffic.add(peer) })
   const link = await links.listen(settings.link)
   lifecycle.register('links', () => links.close())
+  logs.start({ identity, clusterKey })
+  lifecycle.register('logs', () => logs.close())
   const { address: http, server } = await startHttpServer(settings.http, operators.routes)
   lifecycle.register('operators', () => new Promise<void>(resolve => {
     server.close(() => resolve())
@@ -71,13 +66,3 @@
   logger.info('Started.', { port: http.port })
   return { http, link, close: () => lifecycle.close() }
 }
-
-async function fetchLog (log: ReplicatedLog, request: FetchLogRequest): Promise<FetchLogReply> {
-  await log.waitForCommit(request.offset, request.waitMs)
-  const entries = log.listEntries(request.offset, request.maxEntries) ?? []
-  return { entries, commitOffset: log.commitOffset, ageMs: 0 }
-}
-
-function createQuorumStatus (instance: string, log: ReplicatedLog): QuorumStatus {
-  return { role: 'leader', leader: instance, term: 1, commitOffset: log.commitOffset, replicas: [{ instance, isVoter: true, offset: log.commitOffset }] }
-}
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -3,11 +3,11 @@
 import type { RouterSettings } from '../../contract/RouterSettings'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
-import { LocalAdmissionGate } from '../../schedule/LocalAdmissionGate'
 import { TargetClient } from '../../target/TargetClient'
 import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
 import { createTelemetry } from '../_lib/createTelemetry'
+import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
 import { observeCalls } from '../observeCalls'
 import { registerRouterReadings } from '../registerRouterReadings'
@@ -39,10 +39,11 @@
   const { logger, lifecycle, metrics, observer } = telemetry
   const directory = createPeerDirectory(settings, logger, lifecycle)
   const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
+  const handlers = new Map(configuration.handlers)
   const linkOptions: LinkOptions = {
     identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
-    handlers: configuration.handlers,
+    handlers,
     onLink: link => telemetry.traffic.add(link),
     onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message })
   }
@@ -52,14 +53,14 @@
   configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const gate = new LocalAdmissionGate(view)
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, logger: telemetry.createLogger('schedule') })
   const calls = new CallHandler({ view, gate, targets, maxBodyBytes: settings.maxBodyBytes })
   registerRouterReadings(metrics, { view, gate })
   const handleCompletion = observeCalls(observer, (request, response, observation) => calls.handleCompletion(request, response, observation))
   const handleService = observeCalls(observer, (request, response, observation) => calls.handleService(request, response, observation))
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503).end() } },
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
     { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
     { method: 'post', path: '/v1/completions', handler: handleCompletion },
     { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
