--- a/test/_lib/startProcess/index.ts
+++ b/test/_lib/startProcess/index.ts
@@ -16,6 +16,8 @@
   stop: () => Promise<void>
 }
 
+/** Operator token that control processes of tests accept and commands of tests send, unless a test sets its own. */
+const OPERATOR_TOKEN = 'operator-token-for-tests'
 const BUNDLE = join(process.cwd(), 'dist/papayalead.cjs')
 const STOP_TIMEOUT_MS = 20_000
 /** Ends the process when its parent is gone, also when the parent was killed: the parent holds the other end of the pipe. */
@@ -31,8 +33,12 @@
 export async function startProcess (args: string[], settings?: object, options: StartProcessOptions = {}): Promise<StartedProcess> {
   const { nodeFlags = [], logFile } = options
   const stderr = logFile ? openSync(logFile, 'a') : 'inherit'
-  const configFlags = settings ? ['--config', writeSettings(settings)] : []
-  const child = spawn(process.execPath, ['--import', EXIT_WITH_PARENT, ...nodeFlags, BUNDLE, ...args, ...configFlags], { stdio: ['pipe', 'pipe', stderr] })
+  const defaults = args[0] === 'control' ? { bootstrapToken: OPERATOR_TOKEN } : {}
+  const configFlags = settings ? ['--config', writeSettings({ ...defaults, ...settings })] : []
+  const child = spawn(process.execPath, ['--import', EXIT_WITH_PARENT, ...nodeFlags, BUNDLE, ...args, ...configFlags], {
+    stdio: ['pipe', 'pipe', stderr],
+    env: { PAPAYALEAD_TOKEN: OPERATOR_TOKEN, ...process.env }
+  })
   if (typeof stderr === 'number') closeSync(stderr)
   child.stdin!.on('error', () => {})
   const exitCode = once(child, 'exit').then(([code]) => code as number | null)
