--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -10,5 +10,7 @@
   transformIgnorePatterns: [`/node_modules/(?!(${esmOnlyPackages.join('|')})/)`],
   modulePathIgnorePatterns: ['<rootDir>/dist/'],
   globalSetup: '<rootDir>/scripts/bundle-for-tests.mjs',
+  // Each worker may run a fleet of some twenty processes.
+  maxWorkers: 4,
   testTimeout: 60_000
 }
