--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -1,17 +1,25 @@
 import { randomUUID } from 'node:crypto'
+import type { SettingsView } from '../../configuration/SettingsView'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import type { RouterSettings } from '../../contract/RouterSettings'
-import { LifecycleManager } from '../../lifecycle/LifecycleManager'
 import { LinkServer } from '../../link/LinkServer'
 import type { LinkOptions } from '../../link/LinkOptions'
-import { LocalAdmissionGate } from '../../schedule/LocalAdmissionGate'
+import { AnswerRelay } from '../../target/AnswerRelay'
+import { CallDispatcher } from '../../target/CallDispatcher'
+import { RunningWork } from '../../target/RunningWork'
 import { TargetClient } from '../../target/TargetClient'
-import { createLogger } from '../../telemetry/createLogger'
-import { createPartLogger } from '../../telemetry/createPartLogger'
 import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
+import { createTelemetry } from '../_lib/createTelemetry'
+import { startIdempotency } from '../_lib/startIdempotency'
+import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
+import { KeyedCallRunner } from '../KeyedCallRunner'
+import { observeCalls } from '../observeCalls'
+import { registerRouterReadings } from '../registerRouterReadings'
+import { sendMetrics } from '../sendMetrics'
 import { startHttpServer } from '../startHttpServer'
+import { StatusReporter } from '../StatusReporter'
 
 interface RunningRouter {
   http: ListenAddress
@@ -33,14 +41,17 @@
  * await router.close()
  */
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
-  const logger = createPartLogger(createLogger({ instance: settings.instance, level: settings.logLevel }), 'router')
-  const lifecycle = new LifecycleManager({ onError: (name, error) => logger.error('A part failed to close.', { name, reason: String(error) }) })
+  const telemetry = createTelemetry(settings, 'router')
+  const { logger, lifecycle, metrics, observer } = telemetry
   const directory = createPeerDirectory(settings, logger, lifecycle)
   const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
+  const handlers = new Map(configuration.handlers)
+  const incarnation = randomUUID()
   const linkOptions: LinkOptions = {
-    identity: { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'router' },
+    identity: { instance: settings.instance, incarnation, zone: settings.zone, role: 'router' },
     clusterKey: settings.clusterKey,
-    handlers: configuration.handlers,
+    handlers,
+    onLink: link => telemetry.traffic.add(link),
     onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message })
   }
   const links = new LinkServer(linkOptions)
@@ -49,19 +60,43 @@
   configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const gate = new LocalAdmissionGate(view)
-  const calls = new CallHandler({ view, gate, targets, maxBodyBytes: settings.maxBodyBytes })
+  const isTargetOpen = (target: string): boolean => !view.isDrainedByOperator(target)
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, logger: telemetry.createLogger('schedule') })
+  const running = new RunningWork()
+  const dispatcher = new CallDispatcher({ gate, targets, running, isTargetOpen })
+  const records = startIdempotency({ incarnation, control: configuration.control, lifecycle, listClosed: () => listClosed(view, running, isTargetOpen) })
+  const keyed = new KeyedCallRunner(dispatcher, records)
+  const calls = new CallHandler({ view, relay: new AnswerRelay(dispatcher), keyed, maxBodyBytes: settings.maxBodyBytes })
+  registerRouterReadings(metrics, { view, gate })
+  const handleCompletion = observeCalls(observer, (request, response, observation) => calls.handleCompletion(request, response, observation))
+  const handleService = observeCalls(observer, (request, response, observation) => calls.handleService(request, response, observation))
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503).end() } },
-    { method: 'post', path: '/v1/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'post', path: '/v1/chat/completions', handler: (request, response) => calls.handleCompletion(request, response) },
-    { method: 'all', path: '/services/*', handler: (request, response) => calls.handleService(request, response) }
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
+    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
+    { method: 'post', path: '/v1/completions', handler: handleCompletion },
+    { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
+    { method: 'all', path: '/services/*', handler: handleService }
   ])
   lifecycle.register('callers', () => new Promise<void>(resolve => {
     server.close(() => resolve())
     server.closeIdleConnections()
   }))
+  const reporter = new StatusReporter({
+    view,
+    gate,
+    counts: telemetry.counts,
+    isReady: () => view.offset > 0,
+    listDraining: () => view.listAllTargets().map(({ name }) => name).filter(name => view.isDrainedByOperator(name)),
+    control: configuration.control
+  })
+  reporter.start()
+  lifecycle.register('status reports', () => reporter.stop())
   logger.info('Started.', { port: http.port })
   return { http, link, close: () => lifecycle.close() }
 }
+
+function listClosed (view: SettingsView, running: RunningWork, isTargetOpen: (target: string) => boolean): Array<{ target: string, running: number }> {
+  const closed = view.listAllTargets().filter(({ name }) => !isTargetOpen(name))
+  return closed.map(({ name }) => ({ target: name, running: running.count(name) }))
+}
--- /dev/null
+++ b/src/schedule/encodeGrants/index.ts
@@ -0,0 +1,32 @@
+import type { GrantBatchMessage } from '../../contract/GrantBatchMessage'
+import { convertCost } from '../_lib/convertCost'
+import type { GrantOperation } from '../GrantOperation'
+import type { NameEncoder } from '../NameEncoder'
+
+type WireOperation = GrantBatchMessage[1][number]
+
+function encodeGrant (grant: GrantOperation, names: NameEncoder): WireOperation {
+  const { id, afterId, lentBy } = grant
+  const estimate = convertCost(grant.estimate)
+  const [account, service, target] = [grant.account, grant.service, grant.target].map(name => names.getNumber(name))
+  if (lentBy) return [2, id, account, service, target, estimate, names.getNumber(lentBy.zone), lentBy.id]
+  return afterId === undefined ? [1, id, account, service, target, estimate] : [1, id, account, service, target, estimate, afterId]
+}
+
+/**
+ * @name encodeGrants
+ * @category Schedule
+ * @summary Grants for a router in their positional form.
+ *
+ * @param session - Session of the router.
+ * @param grants - The grants.
+ * @param names - Numbers of names on the connection.
+ * @returns Body of a `g` message.
+ *
+ * @example
+ * link.send('g', encodeGrants(1, grants, names))
+ */
+export function encodeGrants (session: number, grants: readonly GrantOperation[], names: NameEncoder): GrantBatchMessage {
+  const operations = grants.map(grant => encodeGrant(grant, names))
+  return [session, [...names.takeDefinitions(), ...operations]]
+}
