Send the genesis entry itself to replicas that lack it

Change: the reply to a probe carries the members of entry 1, and a replica does not stand for election before its first entry is synced.

--- a/src/log/ReplicaCore/index.ts
+++ b/src/log/ReplicaCore/index.ts
@@ -159,7 +159,8 @@
 
   * #startPreVote (nowMs: number): Effects {
     this.#electionMs = nowMs + this.#computeElectionTimeout()
-    if (!this.#data.isVoter()) return
+    // The first members must be durable before a leader sends them: after a crash it would form a second cluster.
+    if (!this.#data.isVoter() || this.#data.syncs.syncedOffset === 0) return
     yield * this.#setRole('preCandidate', undefined)
     this.#votes = new Set([this.#data.id])
     if (hasQuorum(this.#data.voterSets, id => this.#votes.has(id))) return yield * this.#startElection(nowMs)
--- a/src/log/_lib/Formation/index.ts
+++ b/src/log/_lib/Formation/index.ts
@@ -40,11 +40,11 @@
   }
 
   * handleProbe ({ from }: Message<'probe'>): Effects {
-    const { log, syncs, commitOffset } = this.#data
-    const { members } = log
-    yield this.#data.createSend(from, { type: 'probeReply', isInitialised: members !== undefined })
+    const { log, syncs, clusterId } = this.#data
+    const members = log.get(1)?.members
+    yield this.#data.createSend(from, { type: 'probeReply', isInitialised: clusterId !== undefined })
     // Only durable members are sent: a replica that lost them in a crash would form a second cluster.
-    const isGenesis = members !== undefined && members.voters.includes(from) && commitOffset === 0 && syncs.syncedOffset > 0
+    const isGenesis = members !== undefined && members.voters.includes(from) && syncs.syncedOffset > 0
     if (isGenesis) yield this.#data.createSend(from, { type: 'genesis', members })
   }
 
