Test the log with real processes and with a full disk

Cause: the log had one test with real processes.

Change: test/log.test.ts kills the leader under writes, stops and resumes it, and loses three disks one right after the other's repair. src/log/LogTask/test.ts fills the disk of a leader and of a follower, and checks forwarding and batching. Two faults that these tests found are corrected: LogClient stayed with a replica that did not reply, and a forwarded proposal to a stopping replica was not tried again.

--- a/src/log/LogClient/index.ts
+++ b/src/log/LogClient/index.ts
@@ -64,7 +64,11 @@
       return { isDone: true, result }
     } catch (thrown) {
       const error = convertToAppError(thrown)
-      if (error.outcome !== 'not-run') throw error
+      if (error.outcome !== 'not-run') {
+        // A replica that did not reply may be stopped or partitioned, so the next call begins with another one.
+        this.#preferred = this.#chooseNext(undefined)
+        throw error
+      }
       return { isDone: false, leader: error.details?.leader }
     }
   }
--- /dev/null
+++ b/src/log/LogTask/test.ts
@@ -0,0 +1,90 @@
+import { LogTask } from '.'
+import { MemoryFileSystem } from '../../../test/_lib/MemoryFileSystem'
+import type { AppError } from '../../contract/AppError'
+import { LogStorage } from '../LogStorage'
+import type { StateMachine } from '../StateMachine'
+
+class ListMachine implements StateMachine {
+  offset = 0
+  commands: unknown[] = []
+  apply (command: unknown, offset: number): unknown {
+    this.offset = offset
+    if (command !== null) this.commands.push(command)
+    return { count: this.commands.length }
+  }
+
+  getState (): unknown { return { offset: this.offset, commands: this.commands } }
+  install (state: unknown): void { Object.assign(this, state) }
+}
+
+async function waitFor (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+/** Three replicas in this process, on file systems in memory. */
+async function startReplicas () {
+  const names = ['c1', 'c2', 'c3']
+  const replicas: Array<{ log: LogTask, machine: ListMachine, fileSystem: MemoryFileSystem, errors: AppError[] }> = []
+  for (const name of names) {
+    const [fileSystem, machine, errors] = [new MemoryFileSystem(), new ListMachine(), [] as AppError[]]
+    const find = (id: string) => replicas[names.indexOf(id.split(':')[0])].log
+    const log = new LogTask({
+      storage: await LogStorage.open({ fileSystem, directory: '/data/settings', instance: name }),
+      machine,
+      transport: {
+        send: message => setImmediate(() => find(message.to).handleMessage(message)),
+        request: (instance, type, body) => type === 'propose' ? find(instance).proposeHere(body) : find(instance).confirmReadHere()
+      },
+      peers: names.filter(other => other !== name),
+      snapshotEvery: 10,
+      onFatal: error => errors.push(error)
+    })
+    replicas.push({ log, machine, fileSystem, errors })
+  }
+  for (const { log } of replicas) log.start()
+  await waitFor(() => replicas.some(({ log }) => log.getStatus().role === 'leader'))
+  const leader = replicas.find(({ log }) => log.getStatus().role === 'leader')!
+  const followers = replicas.filter(replica => replica !== leader)
+  return { replicas, leader, followers }
+}
+
+describe('LogTask', () => {
+  it('forwards proposals and reads from a follower to the leader, and reads see what was accepted before', async () => {
+    const { replicas, followers: [follower] } = await startReplicas()
+    const results = await Promise.all(Array.from({ length: 30 }, (_, i) => follower.log.propose({ i })))
+    expect(results).toHaveLength(30)
+    for (const { log, machine } of replicas) {
+      await log.confirmRead()
+      expect(machine.commands).toHaveLength(30)
+    }
+    await Promise.all(replicas.map(({ log }) => log.close()))
+  })
+
+  it('batches proposals, so that many of them share one sync', async () => {
+    const { replicas, leader } = await startReplicas()
+    let syncs = 0
+    leader.fileSystem.onOperation = name => { if (name === 'sync') syncs++ }
+    await Promise.all(Array.from({ length: 200 }, (_, i) => leader.log.propose({ i })))
+    expect(syncs).toBeLessThan(40)
+    await Promise.all(replicas.map(({ log }) => log.close()))
+  })
+
+  it.each(['leader', 'follower'])('ends a %s whose disk is full, grants no vote after that, and loses nothing', async role => {
+    const { replicas, leader, followers } = await startReplicas()
+    await leader.log.propose('before')
+    const failed = role === 'leader' ? leader : followers[0]
+    const others = replicas.filter(replica => replica !== failed)
+    failed.fileSystem.onOperation = name => {
+      if (['append', 'sync'].includes(name)) throw Object.assign(new Error('no space left on device'), { code: 'ENOSPC' })
+    }
+    const result = await others[0].log.propose('after').catch((error: AppError) => error.outcome)
+    await waitFor(() => failed.errors.length > 0)
+    expect(failed.errors.map(({ kind }) => kind)).toEqual(['disk-failed'])
+    const { term } = failed.log.getStatus()
+    await others[0].log.propose('later')
+    await others[1].log.confirmRead()
+    expect(failed.log.getStatus().term).toBe(term)
+    for (const { machine } of others) expect(machine.commands).toEqual(expect.arrayContaining(['before', 'later', ...(result === 'unknown' ? [] : ['after'])]))
+    await Promise.all(others.map(({ log }) => log.close()))
+  })
+})
--- a/src/log/_lib/runUntilDeadline/index.ts
+++ b/src/log/_lib/runUntilDeadline/index.ts
@@ -11,7 +11,7 @@
       return await attempt(deadlineMs - performance.now())
     } catch (thrown) {
       const error = convertToAppError(thrown)
-      const isRetryable = error.outcome === 'not-run' && ['not-leader', 'control-unavailable'].includes(error.kind)
+      const isRetryable = error.outcome === 'not-run' && ['not-leader', 'control-unavailable', 'shutting-down'].includes(error.kind)
       if (!isRetryable) throw error
       if (performance.now() + RETRY_DELAY_MS >= deadlineMs) {
         throw new AppError('control-unavailable', 'The log has no leader.', { cause: error })
--- a/test/_lib/ControlCluster/index.ts
+++ b/test/_lib/ControlCluster/index.ts
@@ -75,14 +75,21 @@
     rmSync(this.getDataDir(index), { recursive: true })
   }
 
+  createProposal (changeId: string, options: { expectedRevision?: number } = {}): { group: 'settings', command: SettingsChange } {
+    const operations = [{ path: `/teams/t/accounts/${changeId}`, value: { keyHashes: [], services: ['*'] } }]
+    return { group: 'settings', command: { changeId, subtree: '/teams/t', ...options, operations, operator: 'test', atMs: 0 } }
+  }
+
+  request (index: number, type: string, body: unknown): Promise<unknown> {
+    return this.links[index].request(type, body, { timeoutMs: 5_000 })
+  }
+
   /** Proposes a change until its result is known. */
-  async change (changeId: string, options: { weight?: number, expectedRevision?: number } = {}): Promise<SettingsChangeResult> {
-    const path = `/teams/t/accounts/${changeId}`
-    const value = { keyHashes: [], services: ['*'], weight: options.weight ?? 1 }
-    const change: SettingsChange = { changeId, subtree: '/teams/t', expectedRevision: options.expectedRevision, operations: [{ path, value }], operator: 'test', atMs: 0 }
+  async change (changeId: string, options: { expectedRevision?: number } = {}): Promise<SettingsChangeResult> {
+    const { command } = this.createProposal(changeId, options)
     for (;;) {
       try {
-        return await this.client.propose('settings', change, { timeoutMs: 2_000 }) as SettingsChangeResult
+        return await this.client.propose('settings', command, { timeoutMs: 2_000 }) as SettingsChangeResult
       } catch {}
     }
   }
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -15,4 +15,62 @@
     expect([...tree.list('/teams/t')]).toHaveLength(501)
     expect(await cluster.change('a0')).toEqual(results[0])
   })
+
+  it('loses no accepted change when the leader is killed under writes, and elects another one', async () => {
+    const accepted: string[] = []
+    const isAccepted = async (id: string): Promise<void> => {
+      if ((await cluster.change(id)).status === 'accepted') accepted.push(id)
+    }
+    for (let round = 0; round < 3; round++) {
+      const leader = await cluster.waitForLeader()
+      const writes = Array.from({ length: 60 }, (_, i) => isAccepted(`k${round}-${i}`))
+      await Promise.race(writes)
+      await cluster.kill(leader)
+      await Promise.all(writes)
+      await cluster.startReplica(leader)
+    }
+    expect(accepted).toHaveLength(180)
+    const leader = await cluster.waitForLeader()
+    await cluster.change('last')
+    const tree = await cluster.fetchTree(leader)
+    expect(accepted.filter(id => tree.get(`/teams/t/accounts/${id}`) === undefined)).toEqual([])
+    expect(tree.getRevision('/teams/t')).toBe(181)
+  })
+
+  it('lets a leader that was stopped and resumed accept nothing stale', async () => {
+    const leader = await cluster.waitForLeader()
+    await cluster.change('before')
+    cluster.processes[leader]?.signal('SIGSTOP')
+    expect((await cluster.change('race-a', { expectedRevision: 1 })).status).toBe('accepted')
+    // These are in the stopped leader's socket when it resumes, before it knows of the new term.
+    const stale = [cluster.request(leader, 'propose', cluster.createProposal('race-b', { expectedRevision: 1 })), cluster.request(leader, 'confirmRead', { group: 'settings' })]
+    cluster.processes[leader]?.signal('SIGCONT')
+    const [proposed, read] = await Promise.allSettled(stale)
+    expect(proposed.status === 'fulfilled' && (proposed.value as { status: string }).status === 'accepted').toBe(false)
+    if (read.status === 'fulfilled') expect(read.value).toBeGreaterThanOrEqual((await cluster.getStatus(leader))!.commitOffset)
+    expect((await cluster.change('race-b', { expectedRevision: 1 })).status).toBe('conflict')
+    await cluster.waitFor(async () => (await cluster.fetchTree(leader)).get('/teams/t/accounts/race-a') !== undefined)
+    expect((await cluster.fetchTree(leader)).getRevision('/teams/t')).toBe(2)
+  })
+
+  it('takes a replica with a lost disk back as a learner, and survives the loss of another disk right after the repair', async () => {
+    for (let i = 0; i < 450; i++) await cluster.change(`d${i}`)
+    for (let round = 0; round < 3; round++) {
+      const lost = await cluster.waitForLeader()
+      const before = (await cluster.getStatus(lost))!
+      await cluster.loseDisk(lost)
+      await cluster.change(`during-${round}`)
+      await cluster.startReplica(lost)
+      const seen = new Set<string>()
+      await cluster.waitFor(async () => {
+        const status = await cluster.getStatus(lost)
+        if (status) seen.add(status.role)
+        const leaderStatus = await cluster.getStatus(await cluster.waitForLeader())
+        return leaderStatus!.isSettled && leaderStatus!.members.some(({ instance, incarnation, kind }) => kind === 'voter' && instance === before.instance && incarnation !== before.incarnation)
+      })
+      expect(seen).toContain('learner')
+    }
+    const tree = await cluster.fetchTree(await cluster.waitForLeader())
+    expect([...tree.list('/teams/t')]).toHaveLength(453)
+  })
 })
