--- a/src/command/BackupCommand/index.ts
+++ b/src/command/BackupCommand/index.ts
@@ -2,7 +2,6 @@
 import { Args } from '@oclif/core'
 import { AppError } from '../../contract/AppError'
 import type { SettingsBackup } from '../../contract/SettingsBackup'
-import { OperatorClient } from '../OperatorClient'
 import { OperatorCommand } from '../OperatorCommand'
 
 const OWNER_ONLY = 0o600
@@ -16,7 +15,7 @@
 
   async run (): Promise<void> {
     const { args, flags } = await this.parse(BackupCommand)
-    const client = new OperatorClient({ controls: flags.control, token: flags.token })
+    const client = this.createClient(flags)
     const backup = await client.request({ method: 'GET', path: '/v1/backup' }).finally(() => client.close()) as SettingsBackup
     saveBackup(args.file, backup)
     const count = Object.keys(backup.values).length
--- a/src/command/OperatorClient/index.ts
+++ b/src/command/OperatorClient/index.ts
@@ -6,7 +6,7 @@
 import { Outcome } from '../../contract/Outcome'
 
 const CONNECT_TIMEOUT_MS = 1_000
-const RESPONSE_TIMEOUT_MS = 10_000
+const RESPONSE_TIMEOUT_MS = 7_000
 const RETRY_DELAY_MS = 200
 const DEFAULT_TIMEOUT_MS = 15_000
 /** Refusals after which another control instance may serve the request. */
--- a/src/command/OperatorCommand/index.ts
+++ b/src/command/OperatorCommand/index.ts
@@ -20,7 +20,7 @@
 /** Base of the commands that talk to the operator API. */
 export abstract class OperatorCommand extends Command {
   static override baseFlags = {
-    control: Flags.string({ required: true, multiple: true, multipleNonGreedy: true, delimiter: ',', env: 'PAPAYALEAD_CONTROL', description: 'URL of a control instance; several are tried in turn' }),
+    control: Flags.string({ required: true, multiple: true, multipleNonGreedy: true, env: 'PAPAYALEAD_CONTROL', description: 'URL of a control instance; several, also separated by commas, are tried in turn' }),
     token: Flags.string({ env: 'PAPAYALEAD_TOKEN', description: 'operator token; prefer the environment variable, because arguments are visible to other users' }),
     json: Flags.boolean({ description: 'print JSON in place of a table' })
   }
@@ -32,9 +32,15 @@
     timeout: Flags.integer({ default: DEFAULT_WAIT_S, min: 1, max: 60, description: 'seconds to wait with --wait' })
   }
 
+  protected createClient (flags: OperatorFlags): OperatorClient {
+    // oclif does not split the value of an environment variable and gives it as a string.
+    const controls = [flags.control].flat().flatMap(value => value.split(','))
+    return new OperatorClient({ controls, token: flags.token })
+  }
+
   /** Sends one request and prints the result. */
   protected async runRequest<T> (flags: OperatorFlags, call: Parameters<OperatorClient['request']>[0], render: (result: T) => string): Promise<T> {
-    const client = new OperatorClient({ controls: flags.control, token: flags.token })
+    const client = this.createClient(flags)
     try {
       const result = await client.request(call) as T
       this.log(flags.json ? JSON.stringify(result) : render(result))
--- a/src/command/loadDocument/index.ts
+++ b/src/command/loadDocument/index.ts
@@ -1,3 +1,4 @@
+import type { z } from 'zod'
 import { findSettingSchema } from '../../configuration/findSettingSchema'
 import { loadSettingsFile } from '../../configuration/loadSettingsFile'
 import { SettingsDocument } from '../../contract/SettingsDocument'
@@ -7,10 +8,14 @@
     const schema = findSettingSchema(path)
     if (!schema) context.addIssue({ code: 'custom', path: [path], message: 'no setting has this path' })
     const result = value === null ? undefined : schema?.safeParse(value)
-    for (const issue of result?.error?.issues ?? []) context.addIssue({ code: 'custom', path: [path, ...issue.path], message: issue.message })
+    for (const issue of result?.error?.issues ?? []) context.addIssue({ code: 'custom', path: [path, ...issue.path, ...listUnknownKeys(issue)], message: issue.message })
   }
 })
 
+function listUnknownKeys (issue: z.core.$ZodIssue): string[] {
+  return issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : []
+}
+
 /**
  * @name loadDocument
  * @category Command
--- a/src/command/runCommandLine/index.ts
+++ b/src/command/runCommandLine/index.ts
@@ -24,10 +24,16 @@
   DiffCommand, StatusCommand, DrainCommand, UndrainCommand, BackupCommand, RestoreCommand, StandInCommand
 ]
 
+/** Help needs the names inside of the definitions. */
+function convertEntries<T extends object> (definitions: Record<string, T>): Record<string, T & { name: string }> {
+  return Object.fromEntries(Object.entries(definitions).map(([name, definition]) => [name, { ...definition, name }]))
+}
+
 /** Describes a command class in the form that oclif otherwise reads from files, which a bundle does not have. */
 function createEntry (command: typeof Command): Command.Loadable {
   const { id, baseFlags, flags, args, description, examples } = command
-  const entry = { id, flags: { ...baseFlags, ...flags }, args, description, examples, aliases: [], hiddenAliases: [], hidden: false, strict: true, pluginName: pjson.name, pluginType: 'core' }
+  const named = { flags: convertEntries({ ...baseFlags, ...flags }), args: convertEntries(args) }
+  const entry = { id, ...named, description, examples, aliases: [], hiddenAliases: [], hidden: false, strict: true, pluginName: pjson.name, pluginType: 'core' }
   return { ...entry, load: async () => command } as unknown as Command.Loadable
 }
 
--- a/src/configuration/loadSettingsFile/index.ts
+++ b/src/configuration/loadSettingsFile/index.ts
@@ -24,7 +24,8 @@
   const result = schema.safeParse(value)
   if (result.success) return result.data
   const [issue] = result.error.issues
-  const path = issue.path.filter(part => typeof part !== 'symbol') as Array<string | number>
+  const unknownKeys = issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : []
+  const path = [...issue.path, ...unknownKeys].filter(part => typeof part !== 'symbol')
   const line = countLine(text, findOffset(text, path))
   throw createError(file, line, path.join('.'), issue.message)
 }
