Let operators send commands to engines

Cause: the command table and its sender were not wired, so an operator had no way to load a model or change a role.

Change: POST /v1/commands and `papayalead engine`; the control process that takes the request sends the command and logs intent and result.

--- a/src/command/runCommandLine/index.ts
+++ b/src/command/runCommandLine/index.ts
@@ -9,6 +9,7 @@
 import { DeleteCommand } from '../DeleteCommand'
 import { DiffCommand } from '../DiffCommand'
 import { DrainCommand } from '../DrainCommand'
+import { EngineCommand } from '../EngineCommand'
 import { GetCommand } from '../GetCommand'
 import { HistoryCommand } from '../HistoryCommand'
 import { ListCommand } from '../ListCommand'
@@ -22,7 +23,7 @@
 
 const COMMANDS = [
   RouterCommand, ControlCommand, CheckCommand, GetCommand, SetCommand, DeleteCommand, ListCommand, HistoryCommand, ApplyCommand,
-  DiffCommand, StatusCommand, DrainCommand, UndrainCommand, BackupCommand, RestoreCommand, LoadCommand, StandInCommand
+  DiffCommand, StatusCommand, DrainCommand, UndrainCommand, BackupCommand, RestoreCommand, EngineCommand, LoadCommand, StandInCommand
 ]
 
 /** Describes a command class in the form that oclif otherwise reads from files, which a bundle does not have. */
--- a/src/instance/_lib/createOperators/index.ts
+++ b/src/instance/_lib/createOperators/index.ts
@@ -18,6 +18,7 @@
   tree: SettingsTree
   getLog: OperatorCall['getLog']
   observers: ObserverTable
+  commands: OperatorCall['commands']
 }
 
 interface Operators {
@@ -29,7 +30,7 @@
 
 /** What the control process serves to operators, and the reports of routers that it needs for that. */
 export function createOperators (options: CreateOperatorsOptions): Operators {
-  const { settings, telemetry, tree, getLog, observers } = options
+  const { settings, telemetry, tree, getLog, observers, commands } = options
   const fleet = new FleetStatusTable(performance.now())
   const api = new OperatorApi({
     instance: settings.instance,
@@ -37,6 +38,7 @@
     tree,
     getLog,
     fleet,
+    commands,
     collectReports: async () => observers.listLive(performance.now())
   })
   telemetry.metrics.registerReading({
--- a/src/instance/operatorRoutes/index.ts
+++ b/src/instance/operatorRoutes/index.ts
@@ -14,6 +14,7 @@
 import { applyChange } from '../_lib/applyChange'
 import type { OperatorCall } from '../_lib/OperatorCall'
 import { restoreBackup } from '../_lib/restoreBackup'
+import { runTargetCommand } from '../_lib/runTargetCommand'
 import { checkSubtrees } from '../checkSubtrees'
 
 interface OperatorRoute {
@@ -38,7 +39,8 @@
  *
  * @description
  * `GET /v1/setting?path=`, `GET /v1/settings?prefix=`, `POST /v1/changes?waitMs=`, `POST /v1/diff`,
- * `GET /v1/history?prefix=&limit=`, `GET /v1/status`, `POST /v1/drain`, `POST /v1/undrain`, `GET /v1/backup`, `POST /v1/restore`. Every operator may read
+ * `GET /v1/history?prefix=&limit=`, `GET /v1/status`, `POST /v1/drain`, `POST /v1/undrain`, `GET /v1/backup`, `POST /v1/restore`,
+ * `POST /v1/commands` (command to an engine). Every operator may read
  * all settings, without hashes. A backup holds the hashes, so that backup and restore need the subtree `/`.
  *
  * @example
@@ -54,7 +56,8 @@
   { method: 'POST', path: '/v1/drain', run: call => setDrain(call, true) },
   { method: 'POST', path: '/v1/undrain', run: call => setDrain(call, false) },
   { method: 'GET', path: '/v1/backup', run: getBackup },
-  { method: 'POST', path: '/v1/restore', run: runRestore }
+  { method: 'POST', path: '/v1/restore', run: runRestore },
+  { method: 'POST', path: '/v1/commands', run: runTargetCommand }
 ]
 
 function getSetting ({ tree, request }: OperatorCall): unknown {
--- a/src/instance/startControl/index.ts
+++ b/src/instance/startControl/index.ts
@@ -13,6 +13,7 @@
 import { createFetchReply } from '../_lib/createFetchReply'
 import { createObserverHandlers } from '../_lib/createObserverHandlers'
 import { createOperators } from '../_lib/createOperators'
+import { createTargetCommands } from '../_lib/createTargetCommands'
 import { createTelemetry } from '../_lib/createTelemetry'
 import { OBSERVER_LIVE_MS } from '../_lib/OBSERVER_LIVE_MS'
 import { startHttpServer } from '../startHttpServer'
@@ -54,7 +55,8 @@
   const identity: LinkIdentity = { instance: settings.instance, incarnation: randomUUID(), zone: settings.zone, role: 'control' }
   const { clusterKey } = settings
   const observerHandlers = createObserverHandlers(observers, request => createFetchReply(logs.getLog('settings'), tree, request))
-  const operators = createOperators({ settings, telemetry, tree, getLog: () => logs.getLog('settings'), observers })
+  const commands = createTargetCommands({ sender: identity.incarnation, propose: record => logs.getLog('commands').propose(record) })
+  const operators = createOperators({ settings, telemetry, tree, getLog: () => logs.getLog('settings'), observers, commands })
   const handlers = new Map([...observerHandlers, ...addIdempotencyGroup({ table, logs, lifecycle }), ...operators.handlers])
   const links = new LinkServer({ identity, clusterKey, handlers, onLink: peer => telemetry.traffic.add(peer) })
   const link = await links.listen(settings.link)
