Add the capacity experiment

docs/CAPACITY.md needs measured slopes of state, messages, CPU and memory for each role. The experiment measures the product's classes in one process and idle fleets of real processes, at four or more sizes each, and fits lines.

--- /dev/null
+++ b/src/bench/_lib/capacity/measureControl/index.ts
@@ -0,0 +1,80 @@
+import { encode } from 'cbor-x'
+import { startFleet } from '../../../../../test/_lib/startFleet'
+import { ObserverTable } from '../../../../configuration/ObserverTable'
+import { SettingsTree } from '../../../../configuration/SettingsTree'
+import { resolveSubtree } from '../../../../configuration/resolveSubtree'
+import { createFleetSettings } from '../../createFleetSettings'
+import { measureCpuMs } from '../../measureCpuMs'
+import { readProcessUsage } from '../../readProcessUsage'
+import type { Slope } from '../../Slope'
+
+const ACCOUNTS = [1_000, 4_000, 7_000, 10_000, 13_000]
+const CHANGES = [100, 200, 400, 800]
+const ROUTERS = [40, 80, 160, 320]
+const REPEATS = 100
+
+/** Snapshots, commits and reports of observers in a control replica. */
+export async function measureControl (): Promise<Slope[]> {
+  const sizes: Array<[number, number]> = []
+  const times: Array<[number, number]> = []
+  for (const accounts of ACCOUNTS) {
+    const tree = createTree(accounts)
+    sizes.push([accounts, encode(tree.getState()).length])
+    times.push([accounts, await measureCpuMs(() => { encode(tree.getState()) })])
+  }
+  const commits = await measureCommits()
+  const reports: Array<[number, number]> = []
+  for (const routers of ROUTERS) reports.push([routers, await measureReports(routers)])
+  return [
+    { role: 'control replica', quantity: 'size of a snapshot', unit: 'bytes', per: 'accounts', points: sizes, atSize: 13_000 },
+    { role: 'control replica', quantity: 'CPU of encoding a snapshot', unit: 'ms', per: 'accounts', points: times, atSize: 13_000 },
+    { role: 'control replica', quantity: 'CPU of committed changes, busiest of 3 replicas', unit: 's', per: 'changes', points: commits, atSize: 7_000 },
+    { role: 'control replica', quantity: 'CPU of a pass over all observers', unit: 'µs', per: 'routers', points: reports, atSize: 320 }
+  ]
+}
+
+function createTree (accounts: number): SettingsTree {
+  const tree = new SettingsTree()
+  for (const [path, value] of createFleetSettings({ accounts, targets: 13, services: 7, zones: 16 })) {
+    const offset = tree.offset + 1
+    tree.apply({ changeId: `change-${offset}`, subtree: resolveSubtree(path), operations: [{ path, value }], operator: 'operator', atMs: 0 }, offset)
+  }
+  return tree
+}
+
+async function measureCommits (): Promise<Array<[number, number]>> {
+  const fleet = await startFleet({ zones: ['z1', 'z2', 'z3'], controls: 3, hasProxies: false, accounts: { a: {} } })
+  try {
+    const points: Array<[number, number]> = []
+    for (const changes of [50, ...CHANGES]) {
+      const before = fleet.controls.map(({ pid }) => readProcessUsage(pid).cpuS)
+      for (let count = 0; count < changes; count++) {
+        const response = await fetch(`${fleet.controls[0].url}/v1/changes`, {
+          method: 'POST',
+          headers: { authorization: `Bearer ${fleet.token}`, 'content-type': 'application/json' },
+          body: JSON.stringify({ changeId: `${changes}-${count}`, subtree: '/teams/t', operations: [{ path: '/teams/t/accounts/a', value: { keyHashes: [], services: ['*'], weight: 1 + count } }], operator: 'bench', atMs: 0 })
+        })
+        if (!response.ok) throw new Error(`A change was refused: ${await response.text()}`)
+        await response.text()
+      }
+      const used = fleet.controls.map(({ pid }, index) => readProcessUsage(pid).cpuS - before[index])
+      // The first round warms up.
+      if (changes !== 50) points.push([changes, Math.max(...used)])
+    }
+    return points
+  } finally {
+    await fleet.stop()
+  }
+}
+
+async function measureReports (routers: number): Promise<number> {
+  const table = new ObserverTable({ liveMs: 60_000 })
+  const reports = Array.from({ length: routers }, (_, index) => ({ instance: `router-${index}`, incarnation: `incarnation-${index}`, zone: `zone-${index % 16}`, offset: 100, ageMs: 0 }))
+  const cpuMs = await measureCpuMs(() => {
+    for (let count = 0; count < REPEATS; count++) {
+      for (const report of reports) table.record(report, performance.now())
+      table.listBehind(100, performance.now())
+    }
+  })
+  return cpuMs * 1_000 / REPEATS
+}
--- /dev/null
+++ b/src/bench/_lib/capacity/measureIdleFleet/index.ts
@@ -0,0 +1,121 @@
+import { startFleet } from '../../../../../test/_lib/startFleet'
+import { readProcessUsage } from '../../readProcessUsage'
+import type { Slope } from '../../Slope'
+
+const ROUTERS_PER_ZONE = [4, 8, 12, 16, 20]
+const ZONES = [2, 4, 6, 8]
+const SETTLE_MS = 6_000
+const IDLE_MS = 15_000
+const CHANGES = 50
+const CHANGE_INTERVAL_MS = 100
+
+type Fleet = Awaited<ReturnType<typeof startFleet>>
+
+interface Usage {
+  /** CPU of one core, in percent. */
+  cpuPercent: number
+  sentPerS: number
+  receivedPerS: number
+}
+
+/** Idle fleets of real processes: what heartbeats and long polls cost against routers in a zone and against zones. */
+export async function measureIdleFleet (): Promise<Slope[]> {
+  const byRouters = await measureEach(ROUTERS_PER_ZONE, measureZone)
+  const byZones = await measureEach(ZONES, measureZones)
+  const select = (source: Array<[number, Record<string, number>]>, field: string): Array<[number, number]> => source.map(([x, values]) => [x, values[field]])
+  const perZone = 'routers in the availability zone'
+  return [
+    { role: 'zone scheduler', quantity: 'idle CPU (scheduler and relay in one router)', unit: '% of a core', per: perZone, points: select(byRouters, 'firstCpu'), atSize: 20 },
+    { role: 'zone scheduler', quantity: 'idle traffic (scheduler and relay in one router, both directions)', unit: 'bytes/s', per: perZone, points: select(byRouters, 'firstBytes'), atSize: 20 },
+    { role: 'router', quantity: 'idle CPU of the whole process', unit: '% of a core', per: perZone, points: select(byRouters, 'otherCpu'), atSize: 20 },
+    { role: 'router', quantity: 'idle traffic (both directions)', unit: 'bytes/s', per: perZone, points: select(byRouters, 'otherBytes'), atSize: 20 },
+    { role: 'router', quantity: 'resident memory of the whole process', unit: 'MiB', per: perZone, points: select(byRouters, 'rss'), atSize: 20 },
+    { role: 'relay', quantity: 'traffic of a settings change (both directions, above idle)', unit: 'bytes', per: perZone, points: select(byRouters, 'changeBytes'), atSize: 20 },
+    { role: 'relay', quantity: 'CPU of a settings change (above idle)', unit: 'ms', per: perZone, points: select(byRouters, 'changeCpuMs'), atSize: 20 },
+    { role: 'zone scheduler', quantity: 'idle traffic with other availability zones (both directions)', unit: 'bytes/s', per: 'availability zones', points: select(byZones, 'bytes'), atSize: 16 },
+    { role: 'control replica', quantity: 'idle CPU, one replica', unit: '% of a core', per: 'availability zones', points: select(byZones, 'controlCpu'), atSize: 16 }
+  ]
+}
+
+async function measureEach<T> (sizes: number[], measure: (size: number) => Promise<T>): Promise<Array<[number, T]>> {
+  const points: Array<[number, T]> = []
+  for (const size of sizes) points.push([size, await measure(size)])
+  return points
+}
+
+async function measureZone (routersPerZone: number): Promise<Record<string, number>> {
+  return await runFleet({ zones: ['z1'], routersPerZone }, async fleet => {
+    const idle = await measureUsage(fleet, () => wait(IDLE_MS))
+    const changing = await measureUsage(fleet, async () => {
+      for (let count = 0; count < CHANGES; count++) {
+        await fleet.apply({ '/teams/t/accounts/a': { keyHashes: [], services: ['*'], weight: 1 + count } })
+        await wait(CHANGE_INTERVAL_MS)
+      }
+    })
+    // The router with the first name is the relay and, started a little earlier or not, one router is the scheduler: the busiest.
+    const busiest = idle.routers.reduce((best, next) => next.sentPerS > best.sentPerS ? next : best)
+    const others = idle.routers.filter(usage => usage !== busiest)
+    const computeRelayBytes = (source: typeof idle): number => (source.routers[0].sentPerS + source.routers[0].receivedPerS) * source.durationS
+    const computeRelayCpuMs = (source: typeof idle): number => source.routers[0].cpuPercent * 10 * source.durationS
+    const idleShare = changing.durationS / idle.durationS
+    return {
+      firstCpu: busiest.cpuPercent,
+      firstBytes: busiest.sentPerS + busiest.receivedPerS,
+      otherCpu: computeMean(others.map(usage => usage.cpuPercent)),
+      otherBytes: computeMean(others.map(usage => usage.sentPerS + usage.receivedPerS)),
+      rss: computeMean(fleet.routers.map(({ pid }) => readProcessUsage(pid).rssBytes / 2 ** 20)),
+      changeBytes: (computeRelayBytes(changing) - computeRelayBytes(idle) * idleShare) / CHANGES,
+      changeCpuMs: (computeRelayCpuMs(changing) - computeRelayCpuMs(idle) * idleShare) / CHANGES
+    }
+  })
+}
+
+async function measureZones (zones: number): Promise<Record<string, number>> {
+  return await runFleet({ zones: Array.from({ length: zones }, (_, index) => `z${index + 1}`), routersPerZone: 1 }, async fleet => {
+    const idle = await measureUsage(fleet, () => wait(IDLE_MS))
+    return { bytes: computeMean(idle.routers.map(usage => usage.sentPerS + usage.receivedPerS)), controlCpu: idle.controlCpuPercent }
+  })
+}
+
+async function runFleet<T> (size: { zones: string[], routersPerZone: number }, measure: (fleet: Fleet) => Promise<T>): Promise<T> {
+  const fleet = await startFleet({ ...size, hasProxies: false, accounts: { a: {} }, settings: { '/teams/t/services/s': { kind: 'http' } } })
+  try {
+    await wait(SETTLE_MS)
+    return await measure(fleet)
+  } finally {
+    await fleet.stop()
+  }
+}
+
+async function measureUsage (fleet: Fleet, run: () => Promise<void>): Promise<{ routers: Usage[], controlCpuPercent: number, durationS: number }> {
+  const readAll = async () => ({
+    atMs: performance.now(),
+    traffic: await Promise.all(fleet.routers.map(router => readTraffic(router.url))),
+    cpuS: fleet.routers.map(({ pid }) => readProcessUsage(pid).cpuS),
+    controlCpuS: readProcessUsage(fleet.controls[0].pid).cpuS
+  })
+  const before = await readAll()
+  await run()
+  const after = await readAll()
+  const durationS = (after.atMs - before.atMs) / 1_000
+  const routers = fleet.routers.map((_, index): Usage => ({
+    cpuPercent: (after.cpuS[index] - before.cpuS[index]) / durationS * 100,
+    sentPerS: (after.traffic[index].sent - before.traffic[index].sent) / durationS,
+    receivedPerS: (after.traffic[index].received - before.traffic[index].received) / durationS
+  }))
+  return { routers, controlCpuPercent: (after.controlCpuS - before.controlCpuS) / durationS * 100, durationS }
+}
+
+async function readTraffic (url: string): Promise<{ sent: number, received: number }> {
+  const text = await (await fetch(`${url}/metrics`)).text()
+  const getBytes = (direction: string): number => Number(new RegExp(`^papayalead_link_bytes_total\\{[^}]*direction="${direction}"[^}]*\\} (\\S+)$`, 'm').exec(text)?.[1] ?? NaN)
+  return { sent: getBytes('sent'), received: getBytes('received') }
+}
+
+function computeMean (values: number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
+
+function wait (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/src/bench/experiments/capacity/index.ts
@@ -0,0 +1,32 @@
+import { measureControl } from '../../_lib/capacity/measureControl'
+import { measureIdleFleet } from '../../_lib/capacity/measureIdleFleet'
+import { measureMessages } from '../../_lib/capacity/measureMessages'
+import { measureRouterState } from '../../_lib/capacity/measureRouterState'
+import { measureSchedulerDecisions } from '../../_lib/capacity/measureSchedulerDecisions'
+import { createMachineNote } from '../../_lib/createMachineNote'
+import { renderSlopes } from '../../_lib/renderSlopes'
+import type { Experiment } from '../../Experiment'
+
+/** How state, messages, CPU and memory of each role grow; docs/CAPACITY.md works out the size of two years from it. */
+export const capacity: Experiment = {
+  name: 'capacity',
+  measure: async () => {
+    const slopes = [
+      ...await measureRouterState(),
+      ...await measureSchedulerDecisions(),
+      ...await measureMessages(),
+      ...await measureControl(),
+      ...await measureIdleFleet()
+    ]
+    return {
+      title: 'Capacity: slopes',
+      tables: renderSlopes(slopes),
+      objectives: [],
+      notes: [
+        'Heap, message sizes and CPU of single steps are measured on the classes of the product in one process (CPU: median of three runs after a warm-up). Idle traffic, idle CPU and commits are measured on fleets of real processes on loopback addresses.',
+        'The workload is fixed; the seed is not used.',
+        createMachineNote()
+      ]
+    }
+  }
+}
