--- a/src/command/runCommandLine/index.ts
+++ b/src/command/runCommandLine/index.ts
@@ -5,9 +5,11 @@
 import { BackupCommand } from '../BackupCommand'
 import { CheckCommand } from '../CheckCommand'
 import { ControlCommand } from '../ControlCommand'
+import { LoadCommand } from '../LoadCommand'
 import { DeleteCommand } from '../DeleteCommand'
 import { DiffCommand } from '../DiffCommand'
 import { DrainCommand } from '../DrainCommand'
+import { EngineCommand } from '../EngineCommand'
 import { GetCommand } from '../GetCommand'
 import { HistoryCommand } from '../HistoryCommand'
 import { ListCommand } from '../ListCommand'
@@ -21,7 +23,7 @@
 
 const COMMANDS = [
   RouterCommand, ControlCommand, CheckCommand, GetCommand, SetCommand, DeleteCommand, ListCommand, HistoryCommand, ApplyCommand,
-  DiffCommand, StatusCommand, DrainCommand, UndrainCommand, BackupCommand, RestoreCommand, StandInCommand
+  DiffCommand, StatusCommand, DrainCommand, UndrainCommand, BackupCommand, RestoreCommand, EngineCommand, LoadCommand, StandInCommand
 ]
 
 /** Help needs the names inside of the definitions. */
