--- a/src/instance/FleetStatusTable/index.ts
+++ b/src/instance/FleetStatusTable/index.ts
@@ -42,7 +42,8 @@
   }
 
   listInstances (nowMs: number): FleetStatus['instances'] {
-    return this.#listLive(nowMs).map(({ peer, isReady, offset, reportedAtMs, waiting, running }) => {
+    const sorted = this.#listLive(nowMs).sort((a, b) => a.peer.instance < b.peer.instance ? -1 : 1)
+    return sorted.map(({ peer, isReady, offset, reportedAtMs, waiting, running }) => {
       const ageMs = Math.round(nowMs - reportedAtMs)
       return { instance: peer.instance, zone: peer.zone, isReady, offset, ageMs, waiting, running: countAll(running.map(([, count]) => count)) }
     })
