--- a/src/instance/StatusReporter/index.ts
+++ b/src/instance/StatusReporter/index.ts
@@ -11,7 +11,9 @@
 
 interface StatusReporterOptions {
   view: SettingsView
-  gate: AdmissionGate
+  gate: Pick<AdmissionGate, 'countWaiting'>
+  /** Requests of this router on a target, with those whose slot is released but whose answer is not complete. */
+  countRunning: (target: string) => number
   counts: RequestCounts
   isReady: () => boolean
   /** Targets that this router sends no new work to, whatever the cause. */
@@ -68,9 +70,9 @@
   }
 
   #createStatus (): RouterStatus {
-    const { view, gate, counts, isReady, listDraining } = this.#options
+    const { view, gate, countRunning, counts, isReady, listDraining } = this.#options
     const running = view.listAllTargets()
-      .map(({ name }): [string, number] => [name, gate.countRunning(name)])
+      .map(({ name }): [string, number] => [name, countRunning(name)])
       .filter(([, count]) => count > 0)
     const accounts = [...counts.list()].slice(0, MAX_ACCOUNTS).map(([name, { waiting, running }]): [string, number, number] => [name, waiting, running])
     return { offset: view.offset, isReady: isReady(), waiting: gate.countWaiting(), running, draining: listDraining(), accounts }
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -87,7 +87,8 @@
     gate,
     counts: telemetry.counts,
     isReady: () => view.offset > 0,
-    listDraining: () => view.listAllTargets().map(({ name }) => name).filter(name => view.isDrainedByOperator(name)),
+    listDraining: () => listClosed(view, running, isTargetOpen).map(({ target }) => target),
+    countRunning: target => Math.max(gate.countRunning(target), running.count(target)),
     control: configuration.control
   })
   reporter.start()
--- /dev/null
+++ b/test/pages.test.ts
@@ -0,0 +1,41 @@
+import { existsSync, readFileSync, readdirSync } from 'node:fs'
+import { dirname, join } from 'node:path'
+import { errorTable } from '../src/contract/errorTable'
+import { ErrorKind } from '../src/contract/ErrorKind'
+
+const pages = ['README.md', ...readdirSync('docs', { recursive: true, encoding: 'utf8' }).filter(name => name.endsWith('.md')).map(name => join('docs', name))]
+const readPage = (page: string): string => readFileSync(page, 'utf8')
+const listAnchors = (text: string): string[] => [...text.matchAll(/^#+ (.+)$/gm)].map(([, title]) => title.toLowerCase().replace(/[^\p{L}\p{N} -]/gu, '').replaceAll(' ', '-'))
+
+describe('the pages', () => {
+  it.each(pages)('%s links to pages, anchors and files that exist', page => {
+    const text = readPage(page)
+    const links = [...text.matchAll(/\]\(([^)\s]+)\)/g)].map(([, link]) => link).filter(link => !/^[a-z]+:/.test(link))
+    for (const link of links) {
+      const [path, anchor] = link.split('#')
+      const file = path === '' ? page : join(dirname(page), path)
+      expect([link, existsSync(file)]).toEqual([link, true])
+      if (anchor) expect(listAnchors(readPage(file))).toContain(anchor)
+    }
+    const named = [...text.matchAll(/(?<![\w/.`-])((?:docs|src|scripts|test|tools)\/[\w./-]*\w\.(?:md|ts|mjs|txt))/g)].map(([, file]) => file)
+    for (const file of named) expect([file, existsSync(file)]).toEqual([file, true])
+  })
+
+  it('docs/errors.md agrees with the table of errors, so that callers and operators can rely on it', () => {
+    const rows = readPage('docs/errors.md').split('\n').filter(line => line.startsWith('| `')).map(line => line.split('|').slice(1, -1).map(cell => cell.trim().replaceAll('`', '')))
+    const expected = ErrorKind.options.map(kind => {
+      const { status, outcome, isRetryable, exitCode } = errorTable[kind]
+      return [kind, String(status), outcome, isRetryable ? 'yes' : 'no', String(exitCode)]
+    })
+    expect(rows.map(row => row.slice(0, 5)).sort()).toEqual(expected.sort())
+    for (const row of rows) expect(row.slice(5).every(cell => cell.length > 0)).toBe(true)
+  })
+
+  it('docs/operations.md has a section with symptoms, commands and actions for each failure of the design page', () => {
+    const design = readPage('docs/design.md').split('## 11.')[1].split('## 12.')[0]
+    const failures = design.split('\n').filter(line => line.startsWith('| ') && !line.startsWith('| part ')).length
+    const sections = readPage('docs/operations.md').split(/^## /m).slice(1).filter(section => section.includes('**Symptoms:**'))
+    expect(sections).toHaveLength(failures)
+    for (const section of sections) expect(section).toMatch(/\*\*Commands:\*\*[^]*\*\*What to do:\*\*/)
+  })
+})
