--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -12,5 +12,7 @@
   globalSetup: '<rootDir>/scripts/bundle-for-tests.mjs',
   // Each worker may run a fleet of some twenty processes.
   maxWorkers: 4,
+  // Without it Node.js 20 was seen to loop in the clean-up of socket handles after the last test (uv_run in CleanupHandles).
+  forceExit: true,
   testTimeout: 60_000
 }
