--- a/src/bench/_lib/capacity/measureControl/index.ts
+++ b/src/bench/_lib/capacity/measureControl/index.ts
@@ -2,16 +2,21 @@
 import { startFleet } from '../../../../../test/_lib/startFleet'
 import { ObserverTable } from '../../../../configuration/ObserverTable'
 import { SettingsTree } from '../../../../configuration/SettingsTree'
+import { IdempotencyTable } from '../../../../idempotency/IdempotencyTable'
 import { resolveSubtree } from '../../../../configuration/resolveSubtree'
 import { createFleetSettings } from '../../createFleetSettings'
 import { measureCpuMs } from '../../measureCpuMs'
+import { measureHeap } from '../../measureHeap'
 import { readProcessUsage } from '../../readProcessUsage'
 import type { Slope } from '../../Slope'
 
 const ACCOUNTS = [1_000, 4_000, 7_000, 10_000, 13_000]
 const CHANGES = [100, 200, 400, 800]
 const ROUTERS = [40, 80, 160, 320]
+const RECORDS = [5_000, 10_000, 20_000, 40_000]
 const REPEATS = 100
+/** Keyed calls that stay for the retention of 24 h if one request in a hundred carries a key: 70/s. */
+const RECORDS_AT_SIZE = 70 * 86_400
 
 /** Snapshots, commits and reports of observers in a control replica. */
 export async function measureControl (): Promise<Slope[]> {
@@ -25,7 +30,14 @@
   const commits = await measureCommits()
   const reports: Array<[number, number]> = []
   for (const routers of ROUTERS) reports.push([routers, await measureReports(routers)])
+  const recordTimes: Array<[number, number]> = []
+  for (const records of RECORDS) {
+    const table = createTable(records)
+    recordTimes.push([records, await measureCpuMs(() => { encode(table.getState()) })])
+  }
   return [
+    { role: 'control replica', quantity: 'heap of the idempotency records', unit: 'bytes', per: 'records (1% of the requests keyed)', points: RECORDS.map(records => [records, measureHeap(() => createTable(records))]), atSize: RECORDS_AT_SIZE },
+    { role: 'control replica', quantity: 'CPU of encoding a snapshot of the records', unit: 'ms', per: 'records (1% of the requests keyed)', points: recordTimes, atSize: RECORDS_AT_SIZE },
     { role: 'control replica', quantity: 'size of a snapshot', unit: 'bytes', per: 'accounts', points: sizes, atSize: 13_000 },
     { role: 'control replica', quantity: 'CPU of encoding a snapshot', unit: 'ms', per: 'accounts', points: times, atSize: 13_000 },
     { role: 'control replica', quantity: 'CPU of committed changes, busiest of 3 replicas', unit: 's', per: 'changes', points: commits, atSize: 7_000 },
@@ -42,6 +54,20 @@
   return tree
 }
 
+/** Records of bookings that ended with a response of typical size. */
+function createTable (records: number): IdempotencyTable {
+  const table = new IdempotencyTable()
+  const body = Buffer.from('{"id":123456,"bookingId":"20261204-0-123456"}')
+  for (let index = 0; index < records; index++) {
+    const head = { id: `account-${index % 13_000}/key-${index}`, attempt: `attempt-${index}`, atMs: 1_000 + index }
+    table.apply({ type: 'claim', ...head, digest: `digest-${index}`.padEnd(64, '0'), session: `incarnation-${index % 320}/1` }, 2 * index + 1)
+    const response = { kind: 'complete', status: 201, headers: { 'content-type': 'application/json' }, body: Buffer.from(body) }
+    const result = table.apply({ type: 'complete', ...head, response }, 2 * index + 2)
+    if (result.status !== 'done') throw new Error('A record was not stored.')
+  }
+  return table
+}
+
 async function measureCommits (): Promise<Array<[number, number]>> {
   const fleet = await startFleet({ zones: ['z1', 'z2', 'z3'], controls: 3, hasProxies: false, accounts: { a: {} } })
   try {
--- a/src/bench/_lib/capacity/measureSchedulerDecisions/index.ts
+++ b/src/bench/_lib/capacity/measureSchedulerDecisions/index.ts
@@ -36,7 +36,7 @@
   const grants: LoadedScheduler['grants'] = []
   scheduler.setTargets(Array.from({ length: TARGETS }, (_, index) => ({ name: `runner-${index}`, service: `model-${index % SERVICES}`, slots: SLOTS })))
   const routers = Array.from({ length: ROUTERS }, (_, index) => `router-${index}`)
-  collectGrants(scheduler.start(0, routers), grants)
+  collectGrants(scheduler.start(0, { routers, zones: [] }), grants)
   // The first tick opens the targets.
   collectGrants(scheduler.tick(0), grants)
   routers.forEach((router, position) => {
