Pass on only new reports of observers

Change: a relay passes on the reports that came in since its last message, and all of them to a new source.

--- a/src/bench/_lib/capacity/measureIdleFleet/index.ts
+++ b/src/bench/_lib/capacity/measureIdleFleet/index.ts
@@ -91,7 +91,7 @@
 }
 
 async function measureUsage (fleet: Fleet, run: () => Promise<void>): Promise<{ routers: Usage[], controls: Usage[], durationS: number }> {
-  const readAll = (members: Fleet['routers']) => Promise.all(members.map(async ({ url, pid }) => ({ ...await readTraffic(url), cpuS: readProcessUsage(pid).cpuS })))
+  const readAll = (members: Fleet['routers']) => Promise.all(members.map(async ({ url, pid }) => ({ ...await readTraffic(url, fleet.token), cpuS: readProcessUsage(pid).cpuS })))
   const startedAtMs = performance.now()
   const [routersBefore, controlsBefore] = [await readAll(fleet.routers), await readAll(fleet.controls)]
   await run()
@@ -105,8 +105,8 @@
   return { routers: computeUsages(routersBefore, routersAfter), controls: computeUsages(controlsBefore, controlsAfter), durationS }
 }
 
-async function readTraffic (url: string): Promise<{ sent: number, received: number }> {
-  const text = await (await fetch(`${url}/metrics`)).text()
+async function readTraffic (url: string, token: string): Promise<{ sent: number, received: number }> {
+  const text = await (await fetch(`${url}/metrics`, { headers: { authorization: `Bearer ${token}` } })).text()
   const getBytes = (direction: string): number => Number(new RegExp(`^papayalead_link_bytes_total\\{[^}]*direction="${direction}"[^}]*\\} (\\S+)$`, 'm').exec(text)?.[1] ?? NaN)
   return { sent: getBytes('sent'), received: getBytes('received') }
 }
--- a/src/configuration/ObserverTable/index.ts
+++ b/src/configuration/ObserverTable/index.ts
@@ -23,6 +23,7 @@
 export class ObserverTable {
   readonly #liveMs: number
   readonly #entries = new Map<string, ObserverEntry>()
+  readonly #changed = new Set<string>()
 
   constructor (options: { liveMs: number }) {
     this.#liveMs = options.liveMs
@@ -33,6 +34,7 @@
     const reportedAtMs = nowMs - ageMs
     const known = this.#entries.get(report.instance)
     if (known && known.incarnation !== report.incarnation && known.reportedAtMs > reportedAtMs) return
+    this.#changed.add(report.instance)
     const isSame = known?.incarnation === report.incarnation
     this.#entries.set(report.instance, {
       ...rest,
@@ -47,6 +49,13 @@
     return [...this.#entries.values()].map(({ reportedAtMs, ...rest }) => ({ ...rest, ageMs: nowMs - reportedAtMs }))
   }
 
+  /** Reports of the live observers that reported since the last call. */
+  takeChanged (nowMs: number): ObserverReport[] {
+    const changed = this.listLive(nowMs).filter(({ instance }) => this.#changed.has(instance))
+    this.#changed.clear()
+    return changed
+  }
+
   /** Names of live observers that have not applied the offset. */
   listBehind (offset: number, nowMs: number): string[] {
     return this.listLive(nowMs).filter(report => report.offset < offset).map(report => report.instance)
--- a/src/configuration/ObserverTable/test.ts
+++ b/src/configuration/ObserverTable/test.ts
@@ -25,4 +25,15 @@
     expect(table.listBehind(2, 50)).toEqual(['r1'])
     expect(table.listBehind(2, 101)).toEqual([])
   })
+
+  it('takes each report once, so that a relay does not repeat all of them with every poll', () => {
+    const table = new ObserverTable({ liveMs: 5_000 })
+    const createReport = (instance: string, offset: number) => ({ instance, incarnation: 'i1', zone: 'z1', offset, ageMs: 0 })
+    table.record(createReport('r1', 1), 0)
+    table.record(createReport('r2', 1), 0)
+    expect(table.takeChanged(0).map(({ instance }) => instance)).toEqual(['r1', 'r2'])
+    table.record(createReport('r2', 2), 10)
+    expect(table.takeChanged(10)).toEqual([createReport('r2', 2)])
+    expect(table.takeChanged(10)).toEqual([])
+  })
 })
--- a/src/configuration/SettingsFollower/index.ts
+++ b/src/configuration/SettingsFollower/index.ts
@@ -50,6 +50,8 @@
   #leftFirstAtMs = 0
   #isSourceStale = false
   #source?: LogSource
+  /** The source that has all reports so far. */
+  #reportedTo?: LogSource
   #reportTimer?: NodeJS.Timeout
 
   constructor (options: SettingsFollowerOptions) {
@@ -66,14 +68,25 @@
     clearTimeout(this.#reportTimer)
   }
 
-  /** Passes the offsets of the observers behind this one on to the source, batched. */
+  /**
+   * Passes the offsets of the observers behind this one on to the source, batched. Each observer reports with every
+   * poll; passing on all of them each time would make the traffic grow with the square of their number.
+   */
   scheduleReport (): void {
     this.#reportTimer ??= setTimeout(() => {
       this.#reportTimer = undefined
-      this.#source?.send('reportOffsets', { reports: this.#options.observers.listLive(performance.now()) })
+      this.#sendReport(performance.now())
     }, REPORT_INTERVAL_MS)
   }
 
+  #sendReport (nowMs: number): void {
+    const { observers } = this.#options
+    const changed = observers.takeChanged(nowMs)
+    const reports = this.#source === this.#reportedTo ? changed : observers.listLive(nowMs)
+    if (reports.length === 0) return
+    this.#reportedTo = this.#source?.send('reportOffsets', { reports }) ? this.#source : undefined
+  }
+
   async #run (): Promise<void> {
     while (this.#isRunning) {
       const source = this.#chooseSource()
@@ -97,14 +110,13 @@
   }
 
   async #tryFetch (source: LogSource): Promise<boolean> {
-    const { tree, relay, observers } = this.#options
+    const { tree, relay } = this.#options
     const request: FetchLogRequest = { offset: tree.offset, waitMs: this.#isSourceStale ? 0 : LONG_POLL_MS, maxEntries: MAX_ENTRIES }
     try {
       const reply = FetchLogReply.parse(await source.request('fetchLog', request, { timeoutMs: REQUEST_TIMEOUT_MS }))
       if (!this.#isRunning) return false
       this.#apply(reply)
       relay.recordConfirmation(reply.ageMs, performance.now())
-      if (observers.listLive(performance.now()).length > 0) this.scheduleReport()
       this.#isSourceStale = reply.ageMs > MAX_AGE_MS
       return !this.#isSourceStale
     } catch {
