--- /dev/null
+++ b/src/bench/experiments/state/index.ts
@@ -0,0 +1,155 @@
+import { ControlCluster } from '../../../../test/_lib/ControlCluster'
+import { FetchLogReply } from '../../../contract/FetchLogReply'
+import { computeQuantile } from '../../_lib/computeQuantile'
+import { createMachineNote } from '../../_lib/createMachineNote'
+import { measureSyncs } from '../../_lib/measureSyncs'
+import type { Experiment } from '../../Experiment'
+import type { ExperimentReport } from '../../ExperimentReport'
+
+const REPLICAS = 3
+const ELECTIONS = 10
+const CHANGES = 300
+const OBSERVERS = 9
+const RESTART_CHANGES = 10_000
+const CONCURRENT_CHANGES = 200
+const MAX_ELECTION_MS = 2_000
+const MAX_EFFECT_MS = 1_000
+const MAX_RESTART_MS = 1_000
+const POLL_MS = 5
+
+type Row = [name: string, count: number, p50: string, p99: string, max: string]
+
+function createRow (name: string, values: number[]): Row {
+  const format = (value: number): string => `${value.toFixed(2)} ms`
+  return [name, values.length, format(computeQuantile(values, 0.5)), format(computeQuantile(values, 0.99)), format(Math.max(...values))]
+}
+
+async function measureTime (run: () => Promise<unknown>): Promise<number> {
+  const startMs = performance.now()
+  await run()
+  return performance.now() - startMs
+}
+
+async function measureRepeated (count: number, run: (index: number) => Promise<unknown>): Promise<number[]> {
+  const durations: number[] = []
+  for (let i = 0; i < count; i++) durations.push(await measureTime(() => run(i)))
+  return durations
+}
+
+/** From the kill of a leader until another replica leads. */
+async function measureElections (cluster: ControlCluster): Promise<number[]> {
+  const durations: number[] = []
+  for (let i = 0; i < ELECTIONS; i++) {
+    const leader = await cluster.waitForLeader()
+    const others = [...cluster.links.keys()].filter(index => index !== leader)
+    const startMs = performance.now()
+    await cluster.kill(leader)
+    await cluster.waitFor(async () => {
+      const statuses = await Promise.all(others.map(index => cluster.getStatus(index)))
+      return statuses.some(status => status?.role === 'leader')
+    }, POLL_MS)
+    durations.push(performance.now() - startMs)
+    await cluster.startReplica(leader)
+    await cluster.waitForMembers()
+  }
+  return durations
+}
+
+/** From the proposal of a change until each of nine observers has fetched it by long poll, three at each replica. */
+async function measureEffect (cluster: ControlCluster): Promise<number[]> {
+  const offsets = Array.from({ length: OBSERVERS }, () => 0)
+  const stop = new AbortController()
+  const fetchAll = async (observer: number): Promise<void> => {
+    while (!stop.signal.aborted) {
+      const body = { offset: offsets[observer], waitMs: 500, maxEntries: 1_000 }
+      const reply = FetchLogReply.parse(await cluster.request(observer % REPLICAS, 'fetchLog', body))
+      offsets[observer] = Math.max(offsets[observer], reply.snapshot?.offset ?? 0, reply.entries.at(-1)?.offset ?? 0)
+    }
+  }
+  const running = offsets.map((_offset, observer) => fetchAll(observer))
+  const durations = await measureRepeated(CHANGES, async index => {
+    const result = await cluster.change(`effect-${index}`)
+    const offset = result.status === 'accepted' ? result.offset : NaN
+    await cluster.waitFor(async () => offsets.every(seen => seen >= offset), 0)
+  })
+  stop.abort()
+  await Promise.all(running)
+  return durations
+}
+
+/** Starts again after many changes: one replica until it has everything, then all replicas until the first confirmed read. */
+async function measureRestart (cluster: ControlCluster): Promise<{ one: number, ready: number, all: number }> {
+  for (let done = 0; done < RESTART_CHANGES; done += CONCURRENT_CHANGES) {
+    await Promise.all(Array.from({ length: CONCURRENT_CHANGES }, (_, i) => cluster.change(`restart-${done + i}`)))
+  }
+  const follower = (await cluster.waitForLeader() + 1) % REPLICAS
+  await cluster.kill(follower)
+  const startMs = performance.now()
+  await cluster.startReplica(follower)
+  const ready = performance.now() - startMs
+  await cluster.waitForMembers()
+  const one = performance.now() - startMs
+  await Promise.all([...cluster.links.keys()].map(index => cluster.kill(index)))
+  const all = await measureTime(async () => {
+    await Promise.all([...cluster.links.keys()].map(index => cluster.startReplica(index)))
+    await cluster.waitFor(async () => cluster.tryConfirmRead(), POLL_MS)
+  })
+  return { one, ready, all }
+}
+
+async function measureState (cluster: ControlCluster): Promise<ExperimentReport> {
+  const leader = await cluster.waitForLeader()
+  await cluster.waitForMembers()
+  const link = cluster.links[leader]
+  await measureRepeated(50, i => link.request('propose', cluster.createProposal(`warm-up-${i}`)))
+  const syncs = await measureSyncs(cluster.directory, CHANGES)
+  const trips = await measureRepeated(CHANGES, () => link.request('ping', null))
+  const commits = await measureRepeated(CHANGES, i => link.request('propose', cluster.createProposal(`commit-${i}`)))
+  const effects = await measureEffect(cluster)
+  const elections = await measureElections(cluster)
+  const restart = await measureRestart(cluster)
+  const [sync, trip, commit] = [syncs, trips, commits].map(values => computeQuantile(values, 0.5))
+  const commitBound = 3 * sync + trip
+  const [effect, election] = [computeQuantile(effects, 0.99), Math.max(...elections)]
+  return {
+    title: 'State: the replicated log',
+    tables: [{
+      title: 'Times',
+      columns: ['what', 'count', 'p50', 'p99', 'maximum'],
+      rows: [
+        createRow('one write of 300 bytes with one sync', syncs),
+        createRow('one round trip on a link to the leader', trips),
+        createRow('commit of one change, seen by the proposer', commits),
+        createRow('change proposed until nine observers have it', effects),
+        createRow('kill -9 of the leader until another one leads', elections),
+        createRow(`start of one replica after ${RESTART_CHANGES} changes until it prints its addresses`, [restart.ready]),
+        createRow(`start of one replica after ${RESTART_CHANGES} changes until its lag is 0`, [restart.one]),
+        createRow(`start of all replicas after ${RESTART_CHANGES} changes until a confirmed read`, [restart.all])
+      ]
+    }],
+    objectives: [
+      { name: 'M7 new leader after a kill', bound: `${MAX_ELECTION_MS} ms`, measured: `${election.toFixed(0)} ms (maximum of ${ELECTIONS})`, isMet: election <= MAX_ELECTION_MS },
+      { name: 'M7 change seen by nine observers, p99', bound: `${MAX_EFFECT_MS} ms`, measured: `${effect.toFixed(1)} ms`, isMet: effect <= MAX_EFFECT_MS },
+      { name: 'M7 restart after 10,000 changes', bound: `${MAX_RESTART_MS} ms`, measured: `${restart.one.toFixed(0)} ms (one replica)`, isMet: restart.one <= MAX_RESTART_MS },
+      { name: 'M7 commit latency, median', bound: `3 x one sync + one round trip = ${commitBound.toFixed(2)} ms`, measured: `${commit.toFixed(2)} ms`, isMet: commit <= commitBound }
+    ],
+    notes: [
+      'Three control processes, the proposer and the observers run on one machine over loopback addresses; syncs, round trips and commits are measured one after another in the same run.',
+      'Each start of a process includes the start of Node.js and the load of the bundle; the start of all replicas also includes an election.',
+      createMachineNote()
+    ]
+  }
+}
+
+/** Objective M7: elections, commits, effect of changes and restarts. */
+export const state: Experiment = {
+  name: 'state',
+  measure: async () => {
+    const cluster = await ControlCluster.start(REPLICAS, { snapshotEvery: 1_000 })
+    try {
+      return await measureState(cluster)
+    } finally {
+      await cluster.close()
+    }
+  }
+}
--- a/test/_lib/ControlCluster/index.ts
+++ b/test/_lib/ControlCluster/index.ts
@@ -28,17 +28,19 @@
   readonly links: LinkClient[] = []
   readonly client: LogClient
   readonly #ports: number[]
+  readonly #snapshotEvery: number
 
-  private constructor (ports: number[]) {
+  private constructor (ports: number[], snapshotEvery: number) {
+    this.#snapshotEvery = snapshotEvery
     this.#ports = ports
     const identity = { instance: 'test', incarnation: 'test', zone: 'z1', role: 'operator' as const }
     this.links = ports.map(port => new LinkClient({ host: '127.0.0.1', port }, { identity, clusterKey: CLUSTER_KEY, handlers: new Map() }))
     this.client = new LogClient(this.links)
   }
 
-  static async start (size: number): Promise<ControlCluster> {
+  static async start (size: number, options: { snapshotEvery: number } = { snapshotEvery: 200 }): Promise<ControlCluster> {
     const ports = await Promise.all(Array.from({ length: size }, findFreePort))
-    const cluster = new ControlCluster(ports)
+    const cluster = new ControlCluster(ports, options.snapshotEvery)
     await Promise.all(ports.map((_port, index) => cluster.startReplica(index)))
     return cluster
   }
@@ -54,7 +56,7 @@
       clusterKey: CLUSTER_KEY,
       replicas: addresses,
       dataDir: this.getDataDir(index),
-      snapshotEvery: 200,
+      snapshotEvery: this.#snapshotEvery,
       logLevel: 'error'
     })
   }
@@ -125,8 +127,22 @@
     }
   }
 
-  async waitFor (condition: () => Promise<boolean>): Promise<void> {
-    while (!await condition()) await new Promise(resolve => setTimeout(resolve, 20))
+  /** Waits until the leader sees no lag of any member. */
+  async waitForMembers (): Promise<void> {
+    await this.waitFor(async () => {
+      const status = await this.getStatus(await this.waitForLeader())
+      return status !== undefined && status.members.length === this.links.length && status.members.every(({ lag }) => lag === 0)
+    })
+  }
+
+  /** Whether some replica leads and confirms a read. */
+  async tryConfirmRead (): Promise<boolean> {
+    const reads = this.links.map(link => link.request('confirmRead', { group: 'settings' }, { timeoutMs: 500 }))
+    return (await Promise.allSettled(reads)).some(({ status }) => status === 'fulfilled')
+  }
+
+  async waitFor (condition: () => Promise<boolean>, intervalMs = 20): Promise<void> {
+    while (!await condition()) await new Promise(resolve => setTimeout(resolve, intervalMs))
   }
 
   async close (): Promise<void> {
