--- a/src/instance/CallHandler/index.ts
+++ b/src/instance/CallHandler/index.ts
@@ -1,31 +1,49 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pipeline } from 'node:stream/promises'
 import { z } from 'zod'
 import { checkCredentials } from '../../clientAccount/checkCredentials'
 import type { SettingsView } from '../../configuration/SettingsView'
 import { AppError } from '../../contract/AppError'
-import type { AdmissionGate } from '../../schedule/AdmissionGate'
-import type { TargetClient } from '../../target/TargetClient'
+import type { ClientAccount } from '../../contract/ClientAccount'
+import type { Service } from '../../contract/Service'
+import type { AnswerRelay } from '../../target/AnswerRelay'
+import { selectHeaders } from '../../target/selectHeaders'
+import type { TargetCall } from '../../target/TargetCall'
 import type { RequestObservation } from '../../telemetry/RequestObservation'
+import type { KeyedCallRunner } from '../KeyedCallRunner'
 import { parseJsonBody } from '../parseJsonBody'
 import { readBody } from '../readBody'
 
 const CompletionHead = z.object({ model: z.string(), max_tokens: z.number().positive().optional() })
-const HOP_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'authorization', 'expect', 'te', 'trailer', 'proxy-authorization', 'proxy-connection'])
+const MAX_KEY_LENGTH = 200
+const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS'])
 
 interface CallHandlerOptions {
   view: SettingsView
-  gate: AdmissionGate
-  targets: TargetClient
+  relay: AnswerRelay
+  keyed: KeyedCallRunner
   maxBodyBytes: number
 }
 
+interface Exchange {
+  request: IncomingMessage
+  response: ServerResponse
+  observation: RequestObservation
+}
+
+interface Call {
+  account: ClientAccount & { name: string }
+  service: string
+  path: string
+  body: Buffer
+  kind: Service['kind']
+}
+
 /**
  * @name CallHandler
  * @category Instance
  * @summary Takes a caller's request from its arrival to the end of the answer.
  *
- * @param options - Settings, admission, client of the targets, limit of the body in bytes.
+ * @param options - Settings, relay of the answers, runner of calls with a key, limit of the body in bytes.
  *
  * @example
  * await handler.handleCompletion(request, response, observation)
@@ -42,7 +60,7 @@
     const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
     const head = CompletionHead.safeParse(parseJsonBody(body))
     if (!head.success) throw new AppError('bad-request', 'The body needs a model.')
-    await this.#runCall(request, response, observation, { account, service: head.data.model, path: request.url ?? '/', body })
+    await this.#runCall({ request, response, observation }, { account, service: head.data.model, path: request.url ?? '/', body, kind: 'completion' })
   }
 
   async handleService (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
@@ -50,37 +68,59 @@
     const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
     const match = /^\/services\/([^/?]+)(\/?.*)$/.exec(request.url ?? '')
     if (!match) throw new AppError('not-found', 'No such path.')
-    await this.#runCall(request, response, observation, { account, service: match[1], path: match[2] || '/', body })
+    await this.#runCall({ request, response, observation }, { account, service: match[1], path: match[2] || '/', body, kind: 'http' })
   }
 
-  async #runCall (request: IncomingMessage, response: ServerResponse, observation: RequestObservation, call: { account: { name: string, services: string[] }, service: string, path: string, body: Buffer }): Promise<void> {
-    const { view, gate, targets } = this.#options
-    const service = view.getService(call.service)
-    if (!service) throw new AppError('unknown-service', `There is no service ${call.service}.`)
-    if (!call.account.services.includes('*') && !call.account.services.includes(call.service)) throw new AppError('forbidden', `The account may not call ${call.service}.`)
+  async #runCall ({ request, response, observation }: Exchange, call: Call): Promise<void> {
+    const service = this.#findService(call)
     observation.setCall({ account: call.account.name, service: call.service })
-    const abort = new AbortController()
-    response.on('close', () => abort.abort())
-    const queue = observation.startHop('queue')
-    const slot = await gate.admit({ account: call.account.name, service: call.service, estimate: service.estimate, deadlineAtMs: performance.now() + service.deadlineMs, signal: abort.signal }).finally(() => queue.stop())
-    const dispatch = observation.startHop('dispatch', { target: slot.target })
-    try {
-      const answer = await targets.dispatch({ url: slot.url, method: request.method ?? 'GET', path: call.path, headers: { ...selectHeaders(request.headers), ...observation.traceHeaders }, body: call.body.length > 0 ? call.body : undefined, signal: abort.signal })
-      dispatch.stop()
-      response.writeHead(answer.status, { ...selectHeaders(answer.headers), 'papayalead-outcome': 'complete' })
-      const stream = observation.startHop('stream', { target: slot.target })
-      await pipeline(answer.body, response).finally(() => stream.stop())
-    } finally {
-      dispatch.stop()
-      slot.release({ cost: service.estimate, isHealthy: true })
-    }
+    const signal = watchCaller(response)
+    const targetCall = createTargetCall(request, { call, service, signal, observation })
+    const key = targetCall.isIdempotent ? undefined : parseKey(request.headers['idempotency-key'])
+    if (key === undefined) await this.#options.relay.run(targetCall, response)
+    else await this.#options.keyed.run(targetCall, key, response)
+  }
+
+  #findService (call: Call): Service {
+    const service = this.#options.view.getService(call.service)
+    // A plain service reached as a completion would count as idempotent and could run twice.
+    const isOtherKind = call.kind === 'completion' && service?.kind !== 'completion'
+    if (!service || isOtherKind) throw new AppError('unknown-service', `There is no service ${call.service} for this call.`)
+    if (call.account.services.includes('*') || call.account.services.includes(call.service)) return service
+    throw new AppError('forbidden', `The account may not call ${call.service}.`)
   }
 }
 
-function selectHeaders (headers: Record<string, string | string[] | undefined>): Record<string, string> {
-  const selected: Record<string, string> = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !HOP_HEADERS.has(name)) selected[name] = Array.isArray(value) ? value.join(', ') : value
+function parseKey (header: string | string[] | undefined): string | undefined {
+  if (header === undefined) return undefined
+  if (typeof header === 'string' && header.length > 0 && header.length <= MAX_KEY_LENGTH) return header
+  throw new AppError('bad-request', `An idempotency key has 1 to ${MAX_KEY_LENGTH} characters.`)
+}
+
+/** A signal that aborts when the caller leaves before the end of the answer. */
+function watchCaller (response: ServerResponse): AbortSignal {
+  const abort = new AbortController()
+  response.on('close', () => {
+    if (!response.writableFinished) abort.abort(new AppError('caller-gone', 'The caller left.'))
+  })
+  return abort.signal
+}
+
+function createTargetCall (request: IncomingMessage, parts: { call: Call, service: Service, signal: AbortSignal, observation: RequestObservation }): TargetCall {
+  const { call, service, signal, observation } = parts
+  const method = request.method ?? 'GET'
+  return {
+    account: call.account.name,
+    service: call.service,
+    estimate: service.estimate,
+    deadlineAtMs: performance.now() + service.deadlineMs,
+    signal,
+    trace: observation,
+    isIdempotent: call.kind === 'completion' || IDEMPOTENT_METHODS.has(method),
+    isCompletion: call.kind === 'completion',
+    method,
+    path: call.path,
+    headers: selectHeaders(request.headers),
+    body: call.body.length > 0 ? call.body : undefined
   }
-  return selected
 }
