Measure fairness, and free slots lent to a lost scheduler

Slots that were lent to a scheduler whose router died stayed in use for ever (19% of the slots idle while requests were queued): the successor reports no lends of its predecessor, so the lender now frees what a new scheduler does not hold. Failed requests taught the estimator that an account is cheap (gap of 9,333 tokens after a target was lost); only complete requests count now.

--- a/src/bench/_lib/fairness/AccountLoad/index.ts
+++ b/src/bench/_lib/fairness/AccountLoad/index.ts
@@ -14,4 +14,7 @@
   /** The account sends nothing outside of these times. */
   fromMs: number
   untilMs: number
+  /** The account pauses between these times. */
+  idleFromMs?: number
+  idleUntilMs?: number
 }
--- a/src/bench/_lib/fairness/FairnessRun/index.ts
+++ b/src/bench/_lib/fairness/FairnessRun/index.ts
@@ -113,11 +113,17 @@
   #startLoad (load: AccountLoad): void {
     this.#loads.set(load.name, load)
     if (load.queued > 0) this.clock.schedule(load.fromMs, () => this.#enqueueMissing(load))
+    if (load.idleUntilMs !== undefined) this.clock.schedule(load.idleUntilMs, () => this.#enqueueMissing(load))
     if (load.ratePerS > 0) this.clock.schedule(load.fromMs, () => this.#scheduleArrival(load))
   }
 
   #enqueueMissing (load: AccountLoad): void {
-    while ((this.#waiting.get(load.name) ?? 0) < load.queued && this.clock.nowMs < load.untilMs) this.#addArrival(load)
+    while ((this.#waiting.get(load.name) ?? 0) < load.queued && this.#isActive(load)) this.#addArrival(load)
+  }
+
+  #isActive (load: AccountLoad): boolean {
+    const { nowMs } = this.clock
+    return nowMs < load.untilMs && !(nowMs >= (load.idleFromMs ?? Infinity) && nowMs < (load.idleUntilMs ?? 0))
   }
 
   #scheduleArrival (load: AccountLoad): void {
@@ -179,7 +185,8 @@
     this.#waiting.set(account, waiting)
     this.meter.updateUse(this.clock.nowMs, 0, change)
     // A queue that is refilled at once has no break in its backlog.
-    const isRefilled = (this.#loads.get(account)?.queued ?? 0) > 0 && this.clock.nowMs < this.#loads.get(account)!.untilMs
+    const load = this.#loads.get(account)!
+    const isRefilled = load.queued > 0 && this.#isActive(load)
     this.meter.setBacklogged(this.clock.nowMs, account, waiting > 0 || isRefilled)
   }
 }
--- a/src/schedule/ZoneScheduler/test.ts
+++ b/src/schedule/ZoneScheduler/test.ts
@@ -17,8 +17,8 @@
   readonly scheduler: ZoneScheduler
   nowMs = 0
 
-  constructor (readonly zone: string, slots = 1, reports: Record<string, RouterReport> = { r1: EMPTY, r2: EMPTY }) {
-    this.scheduler = new ZoneScheduler({ zone, term: 1, getWeight: () => 1, isTargetOpen: target => !this.closed.has(target) })
+  constructor (readonly zone: string, slots = 1, reports: Record<string, RouterReport> = { r1: EMPTY, r2: EMPTY }, term = 1) {
+    this.scheduler = new ZoneScheduler({ zone, term, getWeight: () => 1, isTargetOpen: target => !this.closed.has(target) })
     this.scheduler.setTargets([{ name: `${zone}-e`, service: 's', slots }])
     this.run(this.scheduler.start(0, { routers: Object.keys(reports), zones: [] }))
     for (const [router, report] of Object.entries(reports)) this.run(this.scheduler.handleRegister(0, router, report))
@@ -57,8 +57,8 @@
 }
 
 /** A zone whose target is closed, so that its requests need slots of another zone. */
-function createBusyZone (name: string): Zone {
-  const zone = new Zone(name)
+function createBusyZone (name: string, term = 1): Zone {
+  const zone = new Zone(name, 1, { r1: EMPTY, r2: EMPTY }, term)
   zone.closed.add(`${name}-e`)
   return zone
 }
@@ -135,6 +135,13 @@
     expect(zone.grants).toHaveLength(2)
   })
 
+  it('learns nothing about cost from failed requests, so that a dead target does not make an account look cheap', () => {
+    const zone = new Zone('a')
+    zone.send('r1', [waiting('x', 5)])
+    zone.send('r1', [{ type: 'release', id: 1, cost: 0, isHealthy: false }], 1)
+    expect(zone.scheduler.getPool('s').estimator.compute('x', 10)).toBe(10)
+  })
+
   it('raises the charge while a request exceeds its estimate, before it has ended', () => {
     const zone = new Zone('a', 2)
     zone.send('r1', [waiting('x', 1)])
@@ -226,6 +233,17 @@
     expect(a.grants.map(grant => grant.account)).toEqual(['own'])
   })
 
+  it('frees slots that were lent to a scheduler whose router died, when its successor reports', () => {
+    const [a, b] = [new Zone('a'), createBusyZone('b')]
+    exchange(a, b)
+    b.send('r1', [waiting('x', 1)])
+    exchange(a, b)
+    expect(a.scheduler.getPool('s').targets.countFree()).toBe(0)
+    const successor = createBusyZone('b', 2)
+    exchange(a, successor)
+    expect(a.scheduler.getPool('s').targets.countFree()).toBe(1)
+  })
+
   it('keeps slots that a rejoined zone still uses, and charges service of both sides once', () => {
     const [a, b] = [new Zone('a', 2), createBusyZone('b')]
     exchange(a, b)
--- a/src/schedule/_lib/GrantBook/index.ts
+++ b/src/schedule/_lib/GrantBook/index.ts
@@ -65,7 +65,8 @@
     const record = takeRecord(state, release.id)
     if (!record) return
     const { service, account, charged, hint, lentBy } = record
-    this.#pools.get(service).estimator.observe(account, { hint, cost: release.cost })
+    // A request that was cut short says nothing about the cost of complete ones.
+    if (release.isHealthy) this.#pools.get(service).estimator.observe(account, { hint, cost: release.cost })
     if (lentBy) return this.#lends.releaseLent(lentBy, release.cost, release.isHealthy)
     this.#pools.get(service).targets.release(record.target, nowMs, release.isHealthy)
     this.#pools.settle(service, account, { charged, cost: release.cost })
--- a/src/schedule/_lib/LendBook/index.ts
+++ b/src/schedule/_lib/LendBook/index.ts
@@ -204,7 +204,7 @@
   #handleReturned (nowMs: number, peer: PeerState, result: { id: number, cost: number, isHealthy: boolean }): void {
     const record = takeLent(peer, result.id)
     if (!record) return
-    this.#pools.get(record.service).estimator.observe(record.account, { cost: result.cost })
+    if (result.isHealthy) this.#pools.get(record.service).estimator.observe(record.account, { cost: result.cost })
     this.#pools.get(record.service).targets.release(record.target, nowMs, result.isHealthy)
     this.#pools.settle(record.service, record.account, { charged: record.charged, cost: result.cost })
   }
@@ -215,7 +215,8 @@
       for (const account of pool.removeZone(peer.zone)) this.#pools.addChange(service, account)
     }
     const held = new Set(message.operations.map(operation => operation.type === 'held' ? operation.id : 0))
-    this.#revoke(nowMs, peer, id => id <= message.lastLendId && !held.has(id))
+    // A scheduler that is new in its zone does not know what was lent to its predecessor.
+    this.#revoke(nowMs, peer, id => (!peer.isReported || id <= message.lastLendId) && !held.has(id))
   }
 
   #revoke (nowMs: number, peer: PeerState, isLost: (id: number) => boolean): void {
