--- a/src/contract/AppError/index.ts
+++ b/src/contract/AppError/index.ts
@@ -24,7 +24,7 @@
  * @param options - Cause, outcome, seconds until a retry, details for the answer's body.
  *
  * @example
- * throw new AppError('queue-full', 'The queue of account quotes is full.', { retryAfterS: 2 })
+ * new AppError('queue-full', 'The queue of account quotes is full.', { retryAfterS: 2 }).status // 429
  */
 export class AppError extends Error {
   readonly kind: ErrorKind
--- a/src/lease/LeaseGrantor/index.ts
+++ b/src/lease/LeaseGrantor/index.ts
@@ -12,8 +12,9 @@
  *
  * @example
  * const grantor = new LeaseGrantor({ durationMs: 5000, driftMarginMs: 1000 })
- * grantor.renew('r1-a', performance.now())
- * grantor.listExpired(performance.now())
+ * grantor.renew('r1-a', 0)
+ * grantor.listExpired(5999) // []
+ * grantor.listExpired(6000) // ['r1-a']
  */
 export class LeaseGrantor {
   readonly #lifetimeMs: number
--- a/src/lease/LeaseHolder/index.ts
+++ b/src/lease/LeaseHolder/index.ts
@@ -11,8 +11,9 @@
  *
  * @example
  * const lease = new LeaseHolder({ durationMs: 5000 })
- * lease.confirmRenewal(sentAtMs)
- * lease.isHeld(performance.now())
+ * lease.confirmRenewal(1000)
+ * lease.isHeld(5999) // true
+ * lease.isHeld(6000) // false
  */
 export class LeaseHolder {
   readonly #durationMs: number
--- a/src/lifecycle/LifecycleManager/index.ts
+++ b/src/lifecycle/LifecycleManager/index.ts
@@ -19,8 +19,9 @@
  * @param observer - Told about closers that fail.
  *
  * @example
+ * const timer = setTimeout(() => {}, 60_000)
  * const lifecycle = new LifecycleManager()
- * lifecycle.register('listener', () => server.close())
+ * lifecycle.register('timer', () => clearTimeout(timer))
  * await lifecycle.close()
  */
 export class LifecycleManager {
--- a/src/log/LogStorage/index.ts
+++ b/src/log/LogStorage/index.ts
@@ -32,8 +32,9 @@
  * the files in an unknown state: the process must end and read them again.
  *
  * @example
- * const storage = await LogStorage.open({ fileSystem: new NodeFileSystem(), directory: '/var/lib/x/settings', instance: 'c1' })
+ * const storage = await LogStorage.open({ fileSystem: new NodeFileSystem(), directory: './storage-log', instance: 'c1' })
  * await storage.append([{ offset: 1, term: 1 }])
+ * await storage.close()
  */
 export class LogStorage {
   readonly vote: ReplicaVote
--- a/src/log/LogTask/index.ts
+++ b/src/log/LogTask/index.ts
@@ -34,9 +34,11 @@
  * @param options - Storage, state machine, transport, peers.
  *
  * @example
- * const log = new LogTask(options)
+ * const machine = { offset: 0, apply: (command: unknown) => 2 * Number(command), getState: () => null, install: () => {} }
+ * const storage = await LogStorage.open({ fileSystem: new NodeFileSystem(), directory: './log', instance: 'c1' })
+ * const log = new LogTask({ storage, machine, transport: { send: () => {}, request: async () => {} }, peers: [], snapshotEvery: 1000, onFatal: error => console.error(error) })
  * log.start()
- * await log.propose(change)
+ * await log.propose(2) // 4
  * await log.close()
  */
 export class LogTask implements ReplicatedLog {
--- a/src/log/MemoryLog/index.ts
+++ b/src/log/MemoryLog/index.ts
@@ -9,7 +9,10 @@
  * @param machine - Applies the commands.
  *
  * @example
- * const log = new MemoryLog(new SettingsTree())
+ * const machine = { offset: 0, apply: (command: unknown, offset: number) => offset, getState: () => null, install: () => {} }
+ * const log = new MemoryLog(machine)
+ * await log.propose('first') // 1
+ * log.listEntries(0, 10) // [{ offset: 1, command: 'first' }]
  */
 export class MemoryLog implements ReplicatedLog {
   readonly #machine: StateMachine
--- a/src/log/NodeFileSystem/index.ts
+++ b/src/log/NodeFileSystem/index.ts
@@ -7,7 +7,9 @@
  * @summary The file system of the operating system.
  *
  * @example
- * const storage = await LogStorage.open({ fileSystem: new NodeFileSystem(), directory: '/var/lib/papayalead/settings' })
+ * const fileSystem = new NodeFileSystem()
+ * await fileSystem.createDirectory('./files')
+ * await fileSystem.listFiles('./files') // []
  */
 export class NodeFileSystem implements FileSystem {
   async createDirectory (path: string): Promise<void> {
--- a/src/membership/MembershipView/index.ts
+++ b/src/membership/MembershipView/index.ts
@@ -33,6 +33,8 @@
  * @example
  * const view = new MembershipView({ suspectMs: 1000, removeMs: 60_000 })
  * view.recordHeartbeat({ instance: 'r1', incarnation: 'a1', startedAtMs: 0, isLeaving: false }, 0)
+ * view.getState('r1', 500) // 'live'
+ * view.getState('r1', 2000) // 'suspect'
  */
 export class MembershipView {
   readonly #options: MembershipViewOptions
