--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -8,6 +8,7 @@
 import { CallDispatcher } from '../../target/CallDispatcher'
 import { RunningWork } from '../../target/RunningWork'
 import { TargetClient } from '../../target/TargetClient'
+import { MeterTable } from '../../telemetry/MeterTable'
 import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
 import { createTelemetry } from '../_lib/createTelemetry'
@@ -61,7 +62,7 @@
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
   const isTargetOpen = (target: string): boolean => !view.isDrainedByOperator(target)
-  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, logger: telemetry.createLogger('schedule') })
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, metrics: new MeterTable(metrics), logger: telemetry.createLogger('schedule') })
   const running = new RunningWork()
   const dispatcher = new CallDispatcher({ gate, targets, running, isTargetOpen })
   const records = startIdempotency({ incarnation, control: configuration.control, lifecycle, listClosed: () => listClosed(view, running, isTargetOpen) })
--- /dev/null
+++ b/src/telemetry/MeterTable/test.ts
@@ -0,0 +1,17 @@
+import { MeterTable } from '.'
+import { PrometheusMetrics } from '../PrometheusMetrics'
+
+describe('MeterTable', () => {
+  it('exports counters that only grow and the newest value of each gauge, with their labels', async () => {
+    const metrics = new PrometheusMetrics({})
+    const meters = new MeterTable(metrics)
+    meters.addCount('grants')
+    meters.addCount('grants', 2)
+    meters.setGauge('free{service="a"}', 4)
+    meters.setGauge('free{service="a"}', 3)
+    meters.setGauge('free{service="b"}', 1)
+    const lines = (await metrics.render()).split('\n').filter(line => /^papayalead_(grants|free)/.test(line))
+    expect(lines).toEqual(['papayalead_grants_total 3', 'papayalead_free{service="a"} 3', 'papayalead_free{service="b"} 1'])
+    expect(await metrics.render()).toContain('papayalead_grants_total 3')
+  })
+})
