--- a/src/bench/experiments/index.ts
+++ b/src/bench/experiments/index.ts
@@ -1,7 +1,8 @@
 import type { Experiment } from '../Experiment'
 import { capacity } from './capacity'
+import { fairness } from './fairness'
 import { overhead } from './overhead'
 import { state } from './state'
 
 /** All experiments, in the order in which `npm run bench` runs them. */
-export const experiments: readonly Experiment[] = [overhead, capacity, state]
+export const experiments: readonly Experiment[] = [overhead, capacity, fairness, state]
