Send again to a follower whose refusal is below its acknowledged offset

Change: the leader goes back to the acknowledged offset and sends with the next heartbeat. The follower does not go below what it has verified in the term.

--- a/src/log/_lib/EntryReceiver/index.ts
+++ b/src/log/_lib/EntryReceiver/index.ts
@@ -71,8 +71,9 @@
     if (previousOffset > log.lastOffset) return log.lastOffset + 1
     const term = log.getTerm(previousOffset)
     if (term === previousTerm) return undefined
+    const equalOffset = Math.max(commitOffset, this.#verifiedOffset)
     let offset = previousOffset
-    while (offset - 1 > commitOffset && log.getTerm(offset - 1) === term) offset--
+    while (offset - 1 > equalOffset && log.getTerm(offset - 1) === term) offset--
     return offset
   }
 
--- a/src/log/_lib/LeaderState/index.ts
+++ b/src/log/_lib/LeaderState/index.ts
@@ -87,9 +87,10 @@
     progress.lastReplyMs = nowMs
     progress.readSequence = Math.max(progress.readSequence, message.readSequence)
     if (message.isAccepted) this.#recordMatch(progress, message)
-    // A refusal below what was acknowledged is late, or the follower has lost entries: an answer to each would loop.
-    else if (message.conflictOffset <= progress.matchOffset) return
-    else progress.nextOffset = Math.min(message.conflictOffset, this.#data.log.lastOffset + 1)
+    else progress.nextOffset = Math.max(progress.matchOffset + 1, Math.min(message.conflictOffset, this.#data.log.lastOffset + 1))
+    // A refusal below what was acknowledged is late, or the follower has lost entries. The next heartbeat sends again:
+    // an answer to each such refusal could loop without end.
+    if (!message.isAccepted && message.conflictOffset <= progress.matchOffset) return
     yield * this.#sendEntries(from, nowMs, false)
     yield * this.#updateCommit()
     yield * this.#releaseReads()
