Read the steps of a repair from the log instead of sampling them

Change: the test reads the membership changes from a copy of the leader's disk and demands learner, then voter beside the previous voters. This is stricter than before, because it checks the order.

--- a/test/_lib/ControlCluster/index.ts
+++ b/test/_lib/ControlCluster/index.ts
@@ -1,14 +1,17 @@
-import { mkdtempSync, rmSync } from 'node:fs'
+import { cpSync, mkdtempSync, rmSync } from 'node:fs'
 import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { SettingsTree } from '../../../src/configuration/SettingsTree'
 import { FetchLogReply } from '../../../src/contract/FetchLogReply'
+import type { LogMembers } from '../../../src/contract/LogMembers'
 import type { SettingsChange } from '../../../src/contract/SettingsChange'
 import type { SettingsChangeResult } from '../../../src/contract/SettingsChangeResult'
 import { LinkClient } from '../../../src/link/LinkClient'
 import { LogClient } from '../../../src/log/LogClient'
 import type { LogStatus } from '../../../src/log/LogStatus'
+import { LogStorage } from '../../../src/log/LogStorage'
+import { NodeFileSystem } from '../../../src/log/NodeFileSystem'
 import { startProcess } from '../startProcess'
 
 const CLUSTER_KEY = 'cluster-key-for-tests'
@@ -105,6 +108,14 @@
     }
   }
 
+  /** Membership changes in the entries on a replica's disk, in the order of the log. */
+  async loadMembers (index: number): Promise<LogMembers[]> {
+    const directory = mkdtempSync(join(this.directory, 'copy-'))
+    cpSync(join(this.getDataDir(index), 'settings'), directory, { recursive: true })
+    const { entries } = await LogStorage.open({ fileSystem: new NodeFileSystem(), directory, instance: `c${index + 1}` })
+    return entries.flatMap(({ members }) => members ?? [])
+  }
+
   /** Index of the leader that a majority of the running replicas follows. */
   async waitForLeader (): Promise<number> {
     let leader = -1
--- a/test/log.test.ts
+++ b/test/log.test.ts
@@ -61,14 +61,17 @@
       await cluster.loseDisk(lost)
       await cluster.change(`during-${round}`)
       await cluster.startReplica(lost)
-      const seen = new Set<string>()
       await cluster.waitFor(async () => {
-        const status = await cluster.getStatus(lost)
-        if (status) seen.add(status.role)
-        const leaderStatus = await cluster.getStatus(await cluster.waitForLeader())
-        return leaderStatus!.isSettled && leaderStatus!.members.some(({ instance, incarnation, kind }) => kind === 'voter' && instance === before.instance && incarnation !== before.incarnation)
+        const status = await cluster.getStatus(await cluster.waitForLeader())
+        return status!.isSettled && status!.members.some(({ instance, incarnation, kind }) => kind === 'voter' && instance === before.instance && incarnation !== before.incarnation)
       })
-      expect(seen).toContain('learner')
+      // The log shows each step of the repair, however short it was.
+      const history = await cluster.loadMembers(await cluster.waitForLeader())
+      const id = history.at(-1)!.voters.find(voter => voter.startsWith(`${before.instance}:`))!
+      const [asLearner, asVoter] = [history.findIndex(({ learners }) => learners.includes(id)), history.findIndex(({ voters }) => voters.includes(id))]
+      expect(asLearner).toBeGreaterThanOrEqual(0)
+      expect(asVoter).toBeGreaterThan(asLearner)
+      expect(history[asVoter].previousVoters).toContain(`${before.instance}:${before.incarnation}`)
     }
     const tree = await cluster.fetchTree(await cluster.waitForLeader())
     expect([...tree.list('/teams/t')]).toHaveLength(453)
