--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -6,11 +6,15 @@
 import type { LinkOptions } from '../../link/LinkOptions'
 import { AnswerRelay } from '../../target/AnswerRelay'
 import { CallDispatcher } from '../../target/CallDispatcher'
+import { DrainState } from '../../target/DrainState'
+import { HealthWatcher } from '../../target/HealthWatcher'
+import { LeavingTargets } from '../../target/LeavingTargets'
 import { RunningWork } from '../../target/RunningWork'
 import { TargetClient } from '../../target/TargetClient'
 import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
 import { createTelemetry } from '../_lib/createTelemetry'
+import { GracefulStop } from '../_lib/GracefulStop'
 import { startIdempotency } from '../_lib/startIdempotency'
 import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
@@ -42,7 +46,8 @@
 export async function startRouter (settings: RouterSettings): Promise<RunningRouter> {
   const telemetry = createTelemetry(settings, 'router')
   const { logger, lifecycle, metrics, observer } = telemetry
-  const directory = createPeerDirectory(settings, logger, lifecycle)
+  const leaving = new LeavingTargets()
+  const directory = createPeerDirectory(settings, logger, lifecycle, instances => leaving.update(instances))
   const { view, ...configuration } = createSettings({ settings, directory, lifecycle })
   const handlers = new Map(configuration.handlers)
   const incarnation = randomUUID()
@@ -59,9 +64,14 @@
   configuration.start(linkOptions)
   const targets = new TargetClient()
   lifecycle.register('target connections', () => targets.close())
-  const isTargetOpen = (target: string): boolean => !view.isDrainedByOperator(target)
-  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, logger: telemetry.createLogger('schedule') })
   const running = new RunningWork()
+  const health = new HealthWatcher({ listTargets: () => view.listAllTargets().filter(({ zone, name }) => zone === settings.zone || running.count(name) > 0) })
+  health.start()
+  lifecycle.register('health checks', () => health.stop())
+  const drains = new DrainState({ settings: view, sources: [leaving, health] })
+  lifecycle.register('drain state', () => drains.close())
+  const isTargetOpen = (target: string): boolean => drains.isTargetOpen(target)
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, logger: telemetry.createLogger('schedule') })
   const dispatcher = new CallDispatcher({ gate, targets, running, isTargetOpen })
   const records = startIdempotency({ incarnation, control: configuration.control, lifecycle, listClosed: () => listClosed(view, running, isTargetOpen) })
   const keyed = new KeyedCallRunner(dispatcher, records)
@@ -69,18 +79,17 @@
   registerRouterReadings(metrics, { view, gate })
   const handleCompletion = observeCalls(observer, (request, response, observation) => calls.handleCompletion(request, response, observation))
   const handleService = observeCalls(observer, (request, response, observation) => calls.handleService(request, response, observation))
+  const stop = new GracefulStop({ ...settings, countDetached: () => keyed.countRunning() })
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 && !stop.isStopping ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
     { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
     { method: 'post', path: '/v1/completions', handler: handleCompletion },
     { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
     { method: 'all', path: '/services/*', handler: handleService }
   ])
-  lifecycle.register('callers', () => new Promise<void>(resolve => {
-    server.close(() => resolve())
-    server.closeIdleConnections()
-  }))
+  stop.watch(server)
+  lifecycle.register('callers', () => stop.close())
   logger.info('Started.', { port: http.port })
   return { http, link, close: () => lifecycle.close() }
 }
