--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -23,6 +23,7 @@
 import { registerRouterReadings } from '../registerRouterReadings'
 import { sendMetrics } from '../sendMetrics'
 import { startHttpServer } from '../startHttpServer'
+import { StatusReporter } from '../StatusReporter'
 
 interface RunningRouter {
   http: ListenAddress
@@ -88,6 +89,16 @@
     { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
     { method: 'all', path: '/services/*', handler: handleService }
   ])
+  const reporter = new StatusReporter({
+    view,
+    gate,
+    counts: telemetry.counts,
+    isReady: () => view.offset > 0 && !stop.isStopping,
+    listDraining: () => view.listAllTargets().map(({ name }) => name).filter(name => !isTargetOpen(name)),
+    control: configuration.control
+  })
+  reporter.start()
+  lifecycle.register('status reports', () => reporter.stop())
   stop.watch(server)
   lifecycle.register('callers', () => stop.close())
   logger.info('Started.', { port: http.port })
