Prove delivery with real processes and add the delivery experiment

Cause: at-most-once, complete responses and graceful stops were tested only with fakes. The experiment delivery runs seeded bookings and streams under each fault alone and in pairs, a rolling restart of nine routers and the cost of the idempotency record.

--- /dev/null
+++ b/src/bench/experiments/delivery/index.ts
@@ -0,0 +1,85 @@
+import { createMachineNote } from '../../_lib/createMachineNote'
+import { FAULTS } from '../../_lib/delivery/FAULTS'
+import { measureRecordCost } from '../../_lib/delivery/measureRecordCost'
+import { measureRollingRestart } from '../../_lib/delivery/measureRollingRestart'
+import { runFaultCase } from '../../_lib/delivery/runFaultCase'
+import type { Experiment } from '../../Experiment'
+import type { ExperimentReport } from '../../ExperimentReport'
+
+type CaseResult = Awaited<ReturnType<typeof runFaultCase>>
+
+const PARALLEL_CASES = 2
+const ZERO_COUNTS = [
+  ['run twice', ({ counts }: CaseResult) => counts.runTwice],
+  ['reported as not run but run', ({ counts }: CaseResult) => counts.notRunButRun],
+  ['reported as complete but not run', ({ counts }: CaseResult) => counts.completeButNotRun],
+  ['responses mixed up', ({ counts }: CaseResult) => counts.mixedUp],
+  ['streams interrupted', ({ interrupted }: CaseResult) => interrupted],
+  ['streams with wrong tokens', ({ wrongTokens }: CaseResult) => wrongTokens]
+] as const
+
+/** Objectives M8 and M9: outcomes under faults alone and in pairs, rolling restart, drain, cost of the record. */
+export const delivery: Experiment = {
+  name: 'delivery',
+  measure: async ({ seed }) => {
+    const report: ExperimentReport = { title: 'Delivery', tables: [], objectives: [], notes: [] }
+    addCases(report, await runCases(seed))
+    addRollingRestart(report, await measureRollingRestart())
+    addRecordCost(report, await measureRecordCost())
+    report.notes.push(
+      'Each case runs on a fleet of its own: three routers, three control replicas, two booking targets and two engines, all separate processes; the faults begin 1.5 s after the load and last 7 s. Half of the bookings carry a key. Keyed bookings without a complete answer are resent once after the faults.',
+      'The record of the booking targets is the judge. Streams go through the router that no fault stops.',
+      'A window that begins under load, also at a router that is cut off from control, is covered by test/delivery.test.ts.',
+      createMachineNote()
+    )
+    return report
+  }
+}
+
+async function runCases (seed: number): Promise<CaseResult[]> {
+  const pairs = FAULTS.flatMap((first, index) => FAULTS.slice(index + 1).map(second => [first, second]))
+  // A killed process can't be paused, and both faults are on the same router.
+  const cases = [[], ...FAULTS.map(fault => [fault]), ...pairs.filter(pair => !(pair.includes(FAULTS[1]) && pair.includes(FAULTS[2])))]
+  const results: CaseResult[] = []
+  let next = 0
+  const runNext = async (): Promise<void> => {
+    while (next < cases.length) {
+      const index = next++
+      results[index] = await runFaultCase(cases[index], seed + index)
+    }
+  }
+  await Promise.all(Array.from({ length: PARALLEL_CASES }, runNext))
+  return results
+}
+
+function addCases (report: ExperimentReport, results: CaseResult[]): void {
+  const columns = ['faults', 'bookings', 'complete', 'not run', 'unknown', ...ZERO_COUNTS.map(([name]) => name), 'streams']
+  const rows = results.map(result => {
+    const { bookings, complete, notRun, unknown } = result.counts
+    return [result.name, bookings, complete, notRun, unknown, ...ZERO_COUNTS.map(([, count]) => count(result)), result.streams]
+  })
+  report.tables.push({ title: 'Bookings and streams under faults', columns, rows })
+  const bookings = results.reduce((sum, { counts }) => sum + counts.bookings, 0)
+  for (const [name, count] of ZERO_COUNTS) {
+    const total = results.reduce((sum, result) => sum + count(result), 0)
+    report.objectives.push({ name: `M8 ${name}`, bound: '0', measured: `${total} (${bookings} bookings)`, isMet: total === 0 })
+  }
+  const { unknown } = results[0].counts
+  report.objectives.push({ name: 'M8 unknown outcomes without a fault', bound: '0', measured: `${unknown}`, isMet: unknown === 0 })
+}
+
+function addRollingRestart (report: ExperimentReport, result: Awaited<ReturnType<typeof measureRollingRestart>>): void {
+  const { counts, interrupted, drainMs } = result
+  const failed = counts.notRun + counts.unknown + interrupted
+  report.objectives.push({ name: 'M9 failed requests in a rolling restart of nine routers', bound: '0', measured: `${failed} (${counts.bookings} bookings, ${result.streams} streams)`, isMet: failed === 0 })
+  report.objectives.push({ name: 'M9 last new work on a target after an operator drained it', bound: 'at most 3000 ms', measured: `${drainMs} ms`, isMet: drainMs <= 3_000 })
+}
+
+function addRecordCost (report: ExperimentReport, { bookings, unkeyed, keyed }: Awaited<ReturnType<typeof measureRecordCost>>): void {
+  const getQuantile = (sorted: number[], part: number): number => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))]
+  const rows = [['p50', 0.5], ['p90', 0.9], ['p99', 0.99]].map(([name, part]) => {
+    const [a, b] = [getQuantile(unkeyed, Number(part)), getQuantile(keyed, Number(part))]
+    return [name, a.toFixed(2), b.toFixed(2), (b - a).toFixed(2), (b / a).toFixed(2)]
+  })
+  report.tables.push({ title: `Cost of the idempotency record (${bookings} bookings each, one at a time)`, columns: ['quantile', 'without key ms', 'with key ms', 'difference ms', 'ratio'], rows })
+}
--- a/src/bench/experiments/index.ts
+++ b/src/bench/experiments/index.ts
@@ -1,5 +1,6 @@
 import type { Experiment } from '../Experiment'
+import { delivery } from './delivery'
 import { overhead } from './overhead'
 
 /** All experiments, in the order in which `npm run bench` runs them. */
-export const experiments: readonly Experiment[] = [overhead]
+export const experiments: readonly Experiment[] = [overhead, delivery]
--- /dev/null
+++ b/test/_lib/BookingLoad/index.ts
@@ -0,0 +1,90 @@
+import { randomUUID } from 'node:crypto'
+import { Agent, request } from 'undici'
+
+interface Attempt { router: string, outcome: 'complete' | 'not-run' | 'unknown' | 'refused', id?: number, body?: { nonce?: string } }
+
+/** One booking and what its callers were told. */
+export interface Booking { nonce: string, key?: string, attempts: Attempt[] }
+
+interface Counts { bookings: number, complete: number, notRun: number, unknown: number, runTwice: number, notRunButRun: number, completeButNotRun: number, mixedUp: number }
+
+const DEADLINE_MS = 20_000
+
+/** Sends bookings as callers do and compares what they were told with the record of the booking targets. */
+export class BookingLoad {
+  readonly bookings: Booking[] = []
+  // Each call has a connection of its own, as through a load balancer.
+  readonly #agent = new Agent({ pipelining: 0 })
+  readonly #running = new Set<Promise<void>>()
+
+  /** Sends one booking to the router and does not wait for it. */
+  start (url: string, options: { isKeyed?: boolean } = {}): Booking {
+    const nonce = randomUUID()
+    const booking: Booking = { nonce, key: options.isKeyed ? nonce : undefined, attempts: [] }
+    this.bookings.push(booking)
+    this.send(booking, url)
+    return booking
+  }
+
+  /** Sends a booking, also as a resend, and waits for its answer. */
+  send (booking: Booking, url: string): Promise<void> {
+    const running = this.#send(booking, url).finally(() => this.#running.delete(running))
+    this.#running.add(running)
+    return running
+  }
+
+  async wait (): Promise<void> {
+    while (this.#running.size > 0) await Promise.all(this.#running)
+  }
+
+  /** Resends every keyed booking whose outcome is not known to be complete. */
+  async resendAll (url: string): Promise<void> {
+    await Promise.all(this.bookings.filter(({ key, attempts }) => key && attempts.at(-1)?.outcome !== 'complete').map(booking => this.send(booking, url)))
+  }
+
+  async count (targetUrls: string[]): Promise<Counts> {
+    const runs = new Map<string, number>()
+    for (const url of targetUrls) {
+      const { body } = await request(`${url}/record`)
+      for (const run of await body.json() as Array<{ body: { nonce: string } }>) runs.set(run.body.nonce, (runs.get(run.body.nonce) ?? 0) + 1)
+    }
+    const counts: Counts = { bookings: this.bookings.length, complete: 0, notRun: 0, unknown: 0, runTwice: 0, notRunButRun: 0, completeButNotRun: 0, mixedUp: 0 }
+    for (const booking of this.bookings) addCounts(counts, booking, runs.get(booking.nonce) ?? 0)
+    return counts
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #send (booking: Booking, url: string): Promise<void> {
+    const attempt: Attempt = { router: url, outcome: 'unknown' }
+    booking.attempts.push(attempt)
+    try {
+      const { headers, body } = await request(`${url}/services/booking/bookings`, {
+        method: 'POST',
+        headers: { authorization: 'Bearer key-a', 'content-type': 'application/json', ...(booking.key && { 'idempotency-key': booking.key }) },
+        body: JSON.stringify({ nonce: booking.nonce }),
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(DEADLINE_MS)
+      })
+      attempt.body = await body.json() as Attempt['body']
+      attempt.outcome = headers['papayalead-outcome'] as Attempt['outcome']
+    } catch (error) {
+      attempt.outcome = (error as { code?: string }).code === 'ECONNREFUSED' ? 'refused' : 'unknown'
+    }
+  }
+}
+
+function addCounts (counts: Counts, { nonce, key, attempts }: Booking, runs: number): void {
+  const last = attempts.at(-1)!
+  if (last.outcome === 'complete') counts.complete++
+  else if (last.outcome === 'unknown') counts.unknown++
+  else counts.notRun++
+  if (runs > 1) counts.runTwice++
+  // A keyed attempt may be refused as not run although an earlier attempt ran only if the claim itself was refused.
+  const isNotRun = key ? attempts.every(({ outcome }) => outcome === 'not-run' || outcome === 'refused') : last.outcome === 'not-run'
+  if (isNotRun && runs > 0) counts.notRunButRun++
+  if (attempts.some(({ outcome }) => outcome === 'complete') && runs === 0) counts.completeButNotRun++
+  if (attempts.some(({ outcome, body }) => outcome === 'complete' && body?.nonce !== nonce)) counts.mixedUp++
+}
