--- a/test/commandLine.test.ts
+++ b/test/commandLine.test.ts
@@ -75,7 +75,7 @@
     expect([lost.exitCode, lost.stderr]).toEqual([8, expect.stringMatching(/--change-id y.*outcome: unknown/)])
   })
 
-  it.each(['apply', 'backup', 'check', 'control', 'delete', 'diff', 'drain', 'get', 'history', 'list', 'restore', 'router', 'set', 'stand-in', 'status', 'undrain'])('%s --help describes the command', async command => {
+  it.each(['apply', 'backup', 'check', 'control', 'delete', 'diff', 'drain', 'engine', 'get', 'history', 'list', 'load', 'restore', 'router', 'set', 'stand-in', 'status', 'undrain'])('%s --help describes the command', async command => {
     const { stdout, exitCode } = await runCommand([command, '--help'])
     expect([exitCode, stdout]).toEqual([0, expect.stringMatching(/USAGE[^]*FLAGS/)])
   })
--- a/test/operatorApi.test.ts
+++ b/test/operatorApi.test.ts
@@ -6,6 +6,36 @@
 const SECRET_HASH = hash('key-a')
 const account = { keyHashes: [SECRET_HASH], services: ['*'] }
 
+describe('the operator API of three control replicas', () => {
+  it('serves every request on every replica, also after the leader is lost, so that operators need not know the leader', async () => {
+    const fleet = await startFleet({ controls: 3, hasProxies: false })
+    try {
+      const request = async (url: string, path: string, body?: object): Promise<any> => {
+        const response = await fetch(url + path, { method: body ? 'POST' : 'GET', body: body && JSON.stringify(body), headers: { authorization: `Bearer ${fleet.token}` } })
+        return await response.json()
+      }
+      const change = (url: string, weight: number) => request(url, '/v1/changes?waitMs=5000', { expectedRevision: weight - 1, operations: [{ path: '/teams/s/accounts/q', value: { ...account, weight } }] })
+      for (const [index, { url }] of fleet.controls.entries()) {
+        expect(await change(url, index + 1)).toMatchObject({ status: 'accepted', revision: index + 1, applied: ['r1'], behind: [] })
+      }
+      const { quorum } = await request(fleet.controls[0].url, '/v1/status')
+      await fleet.controls.find(({ name }) => name === quorum.leader)!.kill()
+      const rest = fleet.controls.filter(({ name }) => name !== quorum.leader)
+      expect(await change(rest[0].url, 4)).toMatchObject({ status: 'accepted', revision: 4 })
+      expect((await request(rest[1].url, '/v1/setting?path=/teams/s/accounts/q')).value.weight).toBe(4)
+      const histories = await Promise.all(rest.map(({ url }) => request(url, '/v1/history')))
+      expect(histories[0]).toEqual(histories[1])
+      expect(histories[0].changes).toHaveLength(4)
+      await rest[1].kill()
+      const refused = await request(rest[0].url, '/v1/setting?path=/teams/s/accounts/q')
+      expect(refused.error).toMatchObject({ kind: 'control-unavailable', outcome: 'not-run' })
+      expect((await request(rest[0].url, '/v1/setting?path=/teams/s/accounts/q&consistency=local')).value.weight).toBe(4)
+    } finally {
+      await fleet.stop()
+    }
+  })
+})
+
 describe('the operator API', () => {
   let fleet: Awaited<ReturnType<typeof startFleet>>
   beforeEach(async () => {
