--- a/scripts/local-fleet.mjs
+++ b/scripts/local-fleet.mjs
@@ -22,6 +22,9 @@
 const BINARY = 'dist/papayalead.cjs'
 const DIRECTORY = join('.local', 'fleet')
 
+/** Ends a process when this script was killed: the script holds the other end of the pipe. */
+const EXIT_WITH_PARENT = 'data:text/javascript,process.stdin.on("end",()=>process.exit(137)).resume().unref()'
+
 const { values: flags } = parseArgs({ options: { once: { type: 'boolean', default: false } } })
 const children = []
 
@@ -36,7 +39,8 @@
 async function startProcess (name, args) {
   const log = openSync(join(DIRECTORY, `${name}.log`), 'a')
   // A process group of its own, so that Ctrl-C reaches only this script, which stops the processes in order.
-  const child = spawn(process.execPath, [BINARY, ...args], { stdio: ['ignore', 'pipe', log], detached: true })
+  const child = spawn(process.execPath, ['--import', EXIT_WITH_PARENT, BINARY, ...args], { stdio: ['pipe', 'pipe', log], detached: true })
+  child.stdin.on('error', () => {})
   const exit = once(child, 'exit')
   children.push({ name, child, exit })
   const [line] = await Promise.race([
@@ -122,13 +126,14 @@
 
   export PAPAYALEAD_CONTROL=${environment.PAPAYALEAD_CONTROL}
   export PAPAYALEAD_TOKEN=${TOKEN}
+  export ROUTER=${routers[0].url}
   alias papayalead='node ${relative(process.cwd(), BINARY)}'
 
   papayalead status
   papayalead drain engine-zone-a --reason cleaning --wait
   papayalead undrain engine-zone-a --wait
-  curl -N ${routers[0].url}/v1/completions -H 'authorization: Bearer ${CALLER_KEY}' -d '{"model":"llama","stream":true,"max_tokens":8}'
-  curl ${routers[0].url}/metrics
+  curl -N $ROUTER/v1/completions -H 'authorization: Bearer ${CALLER_KEY}' -d '{"model":"llama","stream":true,"max_tokens":8}'
+  curl $ROUTER/metrics
 
 Logs, settings and spans are in ${DIRECTORY}. Ctrl-C stops the fleet.`)
 }
