Leave details out of most status reports of busy routers

Cause: each router sends running work and accounts to every control replica every 2 s. With 120 targets and 200 accounts that is some 6 KB a report, above the 5 KB/s that control may cost a node.

Change: reports of more than 32 entries carry details every 30 s; the ones between are brief and stay exact for draining targets.

The bytes are worked out, not measured.

--- a/src/instance/FleetStatusTable/index.ts
+++ b/src/instance/FleetStatusTable/index.ts
@@ -5,7 +5,7 @@
 import type { RouterStatus } from '../../contract/RouterStatus'
 import { OBSERVER_LIVE_MS } from '../_lib/OBSERVER_LIVE_MS'
 
-interface Entry extends RouterStatus {
+interface Entry extends Required<RouterStatus> {
   peer: LinkIdentity
   reportedAtMs: number
 }
@@ -33,7 +33,8 @@
   }
 
   record (peer: LinkIdentity, status: RouterStatus, nowMs: number): void {
-    this.#entries.set(peer.instance, { ...status, peer, reportedAtMs: nowMs })
+    const { running, accounts } = status.accounts ? { running: status.running, accounts: status.accounts } : this.#completeBrief(peer, status)
+    this.#entries.set(peer.instance, { ...status, running, accounts, peer, reportedAtMs: nowMs })
   }
 
   /** Whether every router that is live has had the time to report. */
@@ -73,6 +74,14 @@
     return draining.length === live.length && isEmpty && this.isSettled(nowMs) ? 'drained' : 'draining'
   }
 
+  /** A brief report is exact for draining targets; for the rest, the newest details of the same process hold. */
+  #completeBrief (peer: LinkIdentity, status: RouterStatus): Pick<Entry, 'running' | 'accounts'> {
+    const known = this.#entries.get(peer.instance)
+    if (known?.peer.incarnation !== peer.incarnation) return { running: status.running, accounts: [] }
+    const others = known.running.filter(([target]) => !status.draining.includes(target))
+    return { running: [...others, ...status.running], accounts: known.accounts }
+  }
+
   #listLive (nowMs: number): Entry[] {
     for (const [instance, { reportedAtMs }] of this.#entries) {
       if (nowMs - reportedAtMs > OBSERVER_LIVE_MS) this.#entries.delete(instance)
--- a/src/instance/StatusReporter/index.ts
+++ b/src/instance/StatusReporter/index.ts
@@ -8,6 +8,9 @@
 const CHANGE_DELAY_MS = 20
 const DRAINING_INTERVAL_MS = 200
 const MAX_ACCOUNTS = 200
+/** Details of at most this many entries are in every report. Larger ones would exceed the control traffic of a node. */
+const MAX_FREQUENT_ENTRIES = 32
+const DETAIL_INTERVAL_MS = 30_000
 
 interface StatusReporterOptions {
   view: SettingsView
@@ -29,7 +32,8 @@
  *
  * @description
  * Reports every 2 s and after each change of the settings. While requests run on a draining target it reports every
- * 200 ms, so that the end of the last one is known soon.
+ * 200 ms, so that the end of the last one is known soon. Counts of targets in service and of accounts are left out of
+ * most reports while they are many.
  *
  * @param options - The parts of the router, and the links to the control replicas.
  *
@@ -41,6 +45,7 @@
 export class StatusReporter {
   readonly #options: StatusReporterOptions
   #timer?: NodeJS.Timeout
+  #detailedAtMs = -Infinity
   #removeListener = (): void => {}
 
   constructor (options: StatusReporterOptions) {
@@ -71,10 +76,20 @@
 
   #createStatus (): RouterStatus {
     const { view, gate, countRunning, counts, isReady, listDraining } = this.#options
+    const draining = listDraining()
     const running = view.listAllTargets()
       .map(({ name }): [string, number] => [name, countRunning(name)])
       .filter(([, count]) => count > 0)
     const accounts = [...counts.list()].slice(0, MAX_ACCOUNTS).map(([name, { waiting, running }]): [string, number, number] => [name, waiting, running])
-    return { offset: view.offset, isReady: isReady(), waiting: gate.countWaiting(), running, draining: listDraining(), accounts }
+    const base = { offset: view.offset, isReady: isReady(), waiting: gate.countWaiting(), draining }
+    if (this.#isDetailDue(running.length + accounts.length)) return { ...base, running, accounts }
+    return { ...base, running: running.filter(([target]) => draining.includes(target)) }
+  }
+
+  #isDetailDue (entries: number): boolean {
+    const nowMs = performance.now()
+    if (entries > MAX_FREQUENT_ENTRIES && nowMs - this.#detailedAtMs < DETAIL_INTERVAL_MS) return false
+    this.#detailedAtMs = nowMs
+    return true
   }
 }
