--- a/src/bench/experiments/index.ts
+++ b/src/bench/experiments/index.ts
@@ -3,6 +3,10 @@
 import { delivery } from './delivery'
 import { fairness } from './fairness'
 import { overhead } from './overhead'
+import { state } from './state'
 
 /** All experiments, in the order in which `npm run bench` runs them. */
-export const experiments: readonly Experiment[] = [overhead, capacity, fairness, delivery]
+import { capacity } from './capacity'
+
+/** All experiments, in the order in which `npm run bench` runs them. */
+export const experiments: readonly Experiment[] = [overhead, fairness, state, delivery, capacity]
