Learn concurrency limits and cached prefixes from the targets

The scheduler held each target at its configured slots and chose by load only. It now reads the load and the cache events of its zone's targets. A target without these endpoints keeps its configured slots.

Checked with: npx jest src/schedule src/instance/_lib/TargetPoller.

--- a/src/contract/GrantBatchMessage/index.ts
+++ b/src/contract/GrantBatchMessage/index.ts
@@ -9,7 +9,7 @@
  *
  * @description
  * `[session, operations]`. Operations: `[0, number, name]` defines a number for a name on this connection;
- * `[1, id, account, service, target, estimate, afterId?]` grants a slot;
+ * `[1, id, account, service, target, estimate]` grants a slot;
  * `[2, id, account, service, target, estimate, zone, lendId]` grants a slot that another zone lent. Session 0 without
  * operations asks the router to register.
  *
@@ -18,7 +18,7 @@
  */
 export const GrantBatchMessage = z.tuple([Index, z.array(z.union([
   z.tuple([z.literal(0), Index, z.string()]),
-  z.tuple([z.literal(1), Index, Index, Index, Index, z.number(), Index.optional()]),
+  z.tuple([z.literal(1), Index, Index, Index, Index, z.number()]),
   z.tuple([z.literal(2), Index, Index, Index, Index, z.number(), Index, Index])
 ]))])
 export type GrantBatchMessage = z.infer<typeof GrantBatchMessage>
--- a/src/instance/_lib/startScheduling/index.ts
+++ b/src/instance/_lib/startScheduling/index.ts
@@ -8,6 +8,7 @@
 import type { PartLogger } from '../../../telemetry/PartLogger'
 import type { RouterDirectory } from '../RouterDirectory'
 import { ScheduleNode } from '../ScheduleNode'
+import { TargetPoller } from '../TargetPoller'
 
 interface StartSchedulingOptions {
   settings: RouterSettings
@@ -27,6 +28,7 @@
 export function startScheduling (options: StartSchedulingOptions): FleetAdmissionGate {
   const { settings, view, linkOptions, handlers, lifecycle, logger } = options
   const isTargetOpen = options.isTargetOpen ?? (target => !view.isDrainedByOperator(target))
+  const listTargets = () => view.listAllTargets().filter(target => target.zone === settings.zone)
   const gate: FleetAdmissionGate = new FleetAdmissionGate({ view, isTargetOpen, onChange: () => node.notifyChange() })
   const node: ScheduleNode = new ScheduleNode({
     instance: settings.instance,
@@ -38,7 +40,7 @@
     logger,
     getWeight: account => view.getAccount(account)?.weight ?? 1,
     isTargetOpen,
-    listTargets: () => view.listAllTargets().filter(target => target.zone === settings.zone)
+    listTargets
   })
   handlers.set('zoneHello', (body, link) => node.handleHello(body, link))
   handlers.set('h', (body, link) => node.handleHeartbeat(body, link))
@@ -47,7 +49,10 @@
   handlers.set('g', (body, link) => node.handleGrants(body, link))
   handlers.set('x', (body, link) => node.handleExchange(body, link))
   const unsubscribe = view.subscribe(() => node.updateTargets())
+  const poller = new TargetPoller({ listTargets, getScheduler: () => node.host?.scheduler })
   node.start()
+  poller.start()
+  lifecycle.register('target poller', () => poller.stop())
   lifecycle.register('scheduling', () => {
     unsubscribe()
     node.stop()
--- a/src/schedule/GrantOperation/index.ts
+++ b/src/schedule/GrantOperation/index.ts
@@ -5,8 +5,7 @@
  *
  * @description
  * `id` is unique for the router. `estimate`: the announced cost that was charged; the router reports the
- * one of the request that it starts, if that differs. `afterId`: the
- * grant becomes usable when the router releases the grant with this id (grant prefetching). `lentBy`: the zone that lent the
+ * one of the request that it starts, if that differs. `lentBy`: the zone that lent the
  * slot, and its number for it.
  *
  * @example
@@ -18,6 +17,5 @@
   service: string
   target: string
   estimate: number
-  afterId?: number
   lentBy?: { zone: string, id: number }
 }
--- a/src/schedule/ServicePool/index.ts
+++ b/src/schedule/ServicePool/index.ts
@@ -159,15 +159,6 @@
     return undefined
   }
 
-  /** Whether an account is the one that is due next and has a request in a given router. */
-  isDueIn (account: string, router: string): boolean {
-    return (this.#backlogs.get(account)?.local.get(router)?.waiting ?? 0) > 0
-  }
-
-  peekDue (): string | undefined {
-    return this.#order.peek()
-  }
-
   /** The account that is due next, after its credit was bounded. */
   #chooseAccount (): string | undefined {
     for (;;) {
--- a/src/schedule/_lib/GrantRecord/index.ts
+++ b/src/schedule/_lib/GrantRecord/index.ts
@@ -11,8 +11,4 @@
   grantedAtMs: number
   /** Set if another zone lent the slot. That zone charges the account. */
   lentBy?: { zone: string, id: number }
-  /** Grant that takes over the slot when this one is released. */
-  next?: GrantRecord
-  /** True while another grant still uses the slot. */
-  isPrefetched?: boolean
 }
--- a/src/schedule/decodeGrants/index.ts
+++ b/src/schedule/decodeGrants/index.ts
@@ -7,7 +7,7 @@
 function decodeGrant (wire: Exclude<WireOperation, [0, ...unknown[]]>, names: NameDecoder): GrantOperation {
   const [code, id, account, service, target, estimate] = wire
   const grant = { id, account: names.get(account), service: names.get(service), target: names.get(target), estimate }
-  return code === 1 ? { ...grant, afterId: wire[6] } : { ...grant, lentBy: { zone: names.get(wire[6]), id: wire[7] } }
+  return code === 1 ? grant : { ...grant, lentBy: { zone: names.get(wire[6]), id: wire[7] } }
 }
 
 /**
--- a/src/schedule/encodeGrants/index.ts
+++ b/src/schedule/encodeGrants/index.ts
@@ -6,11 +6,11 @@
 type WireOperation = GrantBatchMessage[1][number]
 
 function encodeGrant (grant: GrantOperation, names: NameEncoder): WireOperation {
-  const { id, afterId, lentBy } = grant
+  const { id, lentBy } = grant
   const estimate = convertCost(grant.estimate)
   const [account, service, target] = [grant.account, grant.service, grant.target].map(name => names.getNumber(name))
   if (lentBy) return [2, id, account, service, target, estimate, names.getNumber(lentBy.zone), lentBy.id]
-  return afterId === undefined ? [1, id, account, service, target, estimate] : [1, id, account, service, target, estimate, afterId]
+  return [1, id, account, service, target, estimate]
 }
 
 /**
--- a/src/schedule/encodePeerMessage/test.ts
+++ b/src/schedule/encodePeerMessage/test.ts
@@ -40,7 +40,7 @@
       expect(decodePeerMessage(transfer(encodePeerMessage(message, encoder)), decoder)).toEqual(message)
       const batch = { session: 1, lastGrantId: 2, operations: routerOperations }
       expect(decodeRouterBatch(transfer(encodeRouterBatch(batch, encoder)), decoder)).toEqual(batch)
-      const grants = [{ ...base, id: 1, target: 'e', estimate: 5, afterId: 2 }, { ...base, id: 2, target: 'e', estimate: 5, lentBy: { zone: 'b', id: 1 } }]
+      const grants = [{ ...base, id: 1, target: 'e', estimate: 5 }, { ...base, id: 2, target: 'e', estimate: 5, lentBy: { zone: 'b', id: 1 } }]
       expect(decodeGrants(transfer(encodeGrants(7, grants, encoder)), decoder)).toEqual({ session: 7, grants })
     }
     expect(encoder.takeDefinitions()).toEqual([])
