--- a/src/bench/experiments/index.ts
+++ b/src/bench/experiments/index.ts
@@ -5,8 +5,5 @@
 import { overhead } from './overhead'
 import { state } from './state'
 
-/** All experiments, in the order in which `npm run bench` runs them. */
-import { capacity } from './capacity'
-
 /** All experiments, in the order in which `npm run bench` runs them. */
 export const experiments: readonly Experiment[] = [overhead, fairness, state, delivery, capacity]
