--- a/src/bench/experiments/index.ts
+++ b/src/bench/experiments/index.ts
@@ -1,8 +1,9 @@
 import type { Experiment } from '../Experiment'
 import { capacity } from './capacity'
+import { delivery } from './delivery'
 import { fairness } from './fairness'
 import { overhead } from './overhead'
 import { state } from './state'
 
 /** All experiments, in the order in which `npm run bench` runs them. */
-export const experiments: readonly Experiment[] = [overhead, capacity, fairness, state]
+export const experiments: readonly Experiment[] = [overhead, fairness, state, delivery, capacity]
--- a/src/contract/MaintenanceWindow/index.ts
+++ b/src/contract/MaintenanceWindow/index.ts
@@ -17,6 +17,14 @@
   weekday: z.number().int().min(1).max(7),
   start: z.string().regex(/^([01]\d|2[0-3]):[0-5]\d$/, 'expected HH:MM'),
   durationMinutes: z.number().int().positive().max(7 * 24 * 60),
-  timeZone: z.string().min(1)
+  timeZone: z.string().refine(isTimeZone, 'expected an IANA time zone')
 })
 export type MaintenanceWindow = z.infer<typeof MaintenanceWindow>
+
+function isTimeZone (name: string): boolean {
+  try {
+    return new Intl.DateTimeFormat('en', { timeZone: name }) !== undefined
+  } catch {
+    return false
+  }
+}
--- a/src/instance/_lib/createPeerDirectory/index.ts
+++ b/src/instance/_lib/createPeerDirectory/index.ts
@@ -1,3 +1,4 @@
+import type { PlatformInstance } from '../../../contract/PlatformInstance'
 import type { RouterSettings } from '../../../contract/RouterSettings'
 import type { LifecycleManager } from '../../../lifecycle/LifecycleManager'
 import { PeerDirectory } from '../../../membership/PeerDirectory'
@@ -5,12 +6,15 @@
 import type { PartLogger } from '../../../telemetry/PartLogger'
 
 /** Directory of the other routers; follows the platform's list if the settings name one. */
-export function createPeerDirectory (settings: RouterSettings, logger: PartLogger, lifecycle: LifecycleManager): PeerDirectory {
+export function createPeerDirectory (settings: RouterSettings, logger: PartLogger, lifecycle: LifecycleManager, onList: (instances: PlatformInstance[]) => void = () => {}): PeerDirectory {
   const directory = new PeerDirectory({ self: settings.instance, initial: settings.routers })
   if (!settings.membershipUrl) return directory
   const poller = new PlatformListPoller({
     url: settings.membershipUrl,
-    onList: instances => directory.update(instances),
+    onList: instances => {
+      directory.update(instances)
+      onList(instances)
+    },
     onError: error => logger.warn('The platform list is not available.', { reason: String(error) })
   })
   poller.start()
