--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -95,7 +95,7 @@
     gate,
     counts: telemetry.counts,
     isReady: () => view.offset > 0 && !stop.isStopping,
-    listDraining: () => view.listAllTargets().map(({ name }) => name).filter(name => !isTargetOpen(name)),
+    listDraining: () => listClosed(view, running, isTargetOpen).map(({ target }) => target),
     countRunning: target => Math.max(gate.countRunning(target), running.count(target)),
     control: configuration.control
   })
