--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -11,6 +11,7 @@
 import { LeavingTargets } from '../../target/LeavingTargets'
 import { RunningWork } from '../../target/RunningWork'
 import { TargetClient } from '../../target/TargetClient'
+import { MeterTable } from '../../telemetry/MeterTable'
 import { createPeerDirectory } from '../_lib/createPeerDirectory'
 import { createSettings } from '../_lib/createSettings'
 import { createTelemetry } from '../_lib/createTelemetry'
@@ -72,7 +73,7 @@
   const drains = new DrainState({ settings: view, sources: [leaving, health] })
   lifecycle.register('drain state', () => drains.close())
   const isTargetOpen = (target: string): boolean => drains.isTargetOpen(target)
-  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, logger: telemetry.createLogger('schedule') })
+  const gate = startScheduling({ settings, view, directory, linkOptions, handlers, lifecycle, isTargetOpen, metrics: new MeterTable(metrics), logger: telemetry.createLogger('schedule') })
   const dispatcher = new CallDispatcher({ gate, targets, running, isTargetOpen })
   const records = startIdempotency({ incarnation, control: configuration.control, lifecycle, listClosed: () => listClosed(view, running, isTargetOpen) })
   const keyed = new KeyedCallRunner(dispatcher, records)
