--- a/src/command/OperatorCommand/index.ts
+++ b/src/command/OperatorCommand/index.ts
@@ -15,6 +15,7 @@
 
 interface EffectResult {
   behind?: string[]
+  isComplete?: boolean
 }
 
 /** Base of the commands that talk to the operator API. */
@@ -66,6 +67,7 @@
 }
 
 function checkEffect (result: EffectResult): void {
+  if (result.isComplete === false) throw new AppError('deadline-exceeded', 'The change is accepted, but the control instance has just started and may not know all routers.', { outcome: 'complete' })
   if (!result.behind?.length) return
   throw new AppError('deadline-exceeded', `The change is accepted, but not yet in effect on ${result.behind.join(', ')}.`, { outcome: 'complete' })
 }
--- a/src/instance/operatorRoutes/index.ts
+++ b/src/instance/operatorRoutes/index.ts
@@ -133,7 +133,7 @@
 /** Where the change is in effect and where not, if the operator asked to wait for it. */
 async function collectEffect (call: OperatorCall, offset: number, timeoutMs: number | undefined): Promise<object> {
   if (timeoutMs === undefined) return {}
-  return waitForObservers({ offset, timeoutMs, collectReports: call.collectReports })
+  return waitForObservers({ offset, timeoutMs, collectReports: call.collectReports, isSettled: () => call.fleet.isSettled(performance.now()) })
 }
 
 function parseInput<T> (schema: z.ZodType<T>, input: unknown): T {
