Propose a change again when its reply was lost

Cause: a follower that forwarded a change to a leader that had just been killed answered control-unavailable with outcome unknown.

--- a/src/instance/_lib/applyChange/index.ts
+++ b/src/instance/_lib/applyChange/index.ts
@@ -8,6 +8,7 @@
 import { SettingsChangeResult } from '../../../contract/SettingsChangeResult'
 import { checkSubtrees } from '../../checkSubtrees'
 import type { OperatorCall } from '../OperatorCall'
+import { proposeChange } from '../proposeChange'
 
 const PLACEHOLDER = /"hidden:\d+"/
 
@@ -31,7 +32,7 @@
     operator: call.operator.name,
     atMs: Date.now()
   }
-  return checkResult(SettingsChangeResult.parse(await call.getLog().propose(command)))
+  return checkResult(SettingsChangeResult.parse(await proposeChange(call.getLog(), command)))
 }
 
 function checkResult (result: SettingsChangeResult): AcceptedChange {
