Use one class for waits on offsets and one function to restore maps

Cause: three classes kept their own list of callers that wait for an offset, and two state machines had the same function.

Change: OffsetWaiters and restoreMap of the log room serve all of them.

--- a/src/configuration/SettingsRelay/index.ts
+++ b/src/configuration/SettingsRelay/index.ts
@@ -1,5 +1,6 @@
 import type { FetchLogReply } from '../../contract/FetchLogReply'
 import type { FetchLogRequest } from '../../contract/FetchLogRequest'
+import { OffsetWaiters } from '../../log/OffsetWaiters'
 import type { SettingsTree } from '../SettingsTree'
 
 interface LogEntry {
@@ -31,7 +32,7 @@
   readonly #maxEntries: number
   #entries: LogEntry[] = []
   #confirmedAtMs = -Infinity
-  readonly #waiters = new Set<() => void>()
+  readonly #waiters = new OffsetWaiters()
 
   constructor (tree: SettingsTree, options: { maxEntries?: number } = {}) {
     this.#tree = tree
@@ -41,12 +42,12 @@
   record (entry: LogEntry): void {
     this.#entries.push(entry)
     if (this.#entries.length > this.#maxEntries) this.#entries.shift()
-    this.#notifyWaiters()
+    this.#waiters.notify(this.#tree.offset)
   }
 
   recordSnapshot (): void {
     this.#entries = []
-    this.#notifyWaiters()
+    this.#waiters.notify(this.#tree.offset)
   }
 
   recordConfirmation (ageMs: number, nowMs: number): void {
@@ -60,7 +61,7 @@
   }
 
   async fetch (request: FetchLogRequest): Promise<FetchLogReply> {
-    if (this.#tree.offset <= request.offset) await this.#waitForNews(request.waitMs)
+    if (this.#tree.offset <= request.offset && request.waitMs > 0) await this.#waiters.wait(request.offset + 1, request.waitMs)
     const base = { commitOffset: this.#tree.offset, ageMs: this.getAge(performance.now()) }
     if (this.#tree.offset <= request.offset) return { ...base, entries: [] }
     const first = this.#entries[0]
@@ -70,21 +71,4 @@
     }
     return { ...base, entries: [], snapshot: { offset: this.#tree.offset, state: this.#tree.getState() } }
   }
-
-  #waitForNews (waitMs: number): Promise<void> {
-    if (waitMs === 0) return Promise.resolve()
-    return new Promise(resolve => {
-      const timer = setTimeout(() => notify(), waitMs)
-      const notify = (): void => {
-        clearTimeout(timer)
-        this.#waiters.delete(notify)
-        resolve()
-      }
-      this.#waiters.add(notify)
-    })
-  }
-
-  #notifyWaiters (): void {
-    for (const notify of [...this.#waiters]) notify()
-  }
 }
--- a/src/configuration/SettingsTree/index.ts
+++ b/src/configuration/SettingsTree/index.ts
@@ -6,6 +6,7 @@
 import { restoreHashes } from '../restoreHashes'
 import { SettingsHistory } from '../SettingsHistory'
 import { SettingsState } from '../SettingsState'
+import { restoreMap } from '../../log/restoreMap'
 
 type Values = SettingsState['values']
 
@@ -167,8 +168,3 @@
     return match ? `${match[1]}/${match[2]}` : undefined
   }
 }
-
-function restoreMap<T> (map: Map<string, T>, entries: Array<[string, T]>): void {
-  map.clear()
-  for (const [key, value] of entries) map.set(key, value)
-}
--- a/src/idempotency/IdempotencyTable/index.ts
+++ b/src/idempotency/IdempotencyTable/index.ts
@@ -4,6 +4,7 @@
 import { IdempotencyState } from '../IdempotencyState'
 import { MAX_STORED_BYTES } from '../MAX_STORED_BYTES'
 import type { StoredResponse } from '../StoredResponse'
+import { restoreMap } from '../../log/restoreMap'
 
 type Command<T extends IdempotencyCommand['type']> = Extract<IdempotencyCommand, { type: T }>
 
@@ -188,8 +189,3 @@
   }
   return older
 }
-
-function restoreMap<T> (map: Map<string, T>, entries: Array<[string, T]>): void {
-  map.clear()
-  for (const [key, value] of entries) map.set(key, value)
-}
--- a/src/log/MemoryLog/index.ts
+++ b/src/log/MemoryLog/index.ts
@@ -1,3 +1,4 @@
+import { OffsetWaiters } from '../OffsetWaiters'
 import type { ReplicatedLog } from '../ReplicatedLog'
 import type { StateMachine } from '../StateMachine'
 
@@ -17,7 +18,7 @@
 export class MemoryLog implements ReplicatedLog {
   readonly #machine: StateMachine
   readonly #entries: Array<{ offset: number, command: unknown }> = []
-  readonly #waiters = new Set<() => void>()
+  readonly #waiters = new OffsetWaiters()
 
   constructor (machine: StateMachine) {
     this.#machine = machine
@@ -31,7 +32,7 @@
     const offset = this.#entries.length + 1
     this.#entries.push({ offset, command })
     const result = this.#machine.apply(command, offset)
-    for (const notify of [...this.#waiters]) notify()
+    this.#waiters.notify(offset)
     return result
   }
 
@@ -41,16 +42,7 @@
     return this.#entries.slice(afterOffset, afterOffset + maxEntries)
   }
 
-  waitForCommit (afterOffset: number, waitMs: number): Promise<void> {
-    if (this.commitOffset > afterOffset) return Promise.resolve()
-    return new Promise(resolve => {
-      const timer = setTimeout(() => notify(), waitMs)
-      const notify = (): void => {
-        clearTimeout(timer)
-        this.#waiters.delete(notify)
-        resolve()
-      }
-      this.#waiters.add(notify)
-    })
+  async waitForCommit (afterOffset: number, waitMs: number): Promise<void> {
+    if (this.commitOffset <= afterOffset) await this.#waiters.wait(afterOffset + 1, waitMs)
   }
 }
--- a/src/log/_lib/OffsetWaiters/index.ts
+++ b/src/log/OffsetWaiters/index.ts
@@ -3,7 +3,17 @@
   notify: () => void
 }
 
-/** Callers that wait until an offset is applied. */
+/**
+ * @name OffsetWaiters
+ * @category Log
+ * @summary Callers that wait until an offset is applied.
+ *
+ * @example
+ * const waiters = new OffsetWaiters()
+ * const applied = waiters.wait(7, 1000)
+ * waiters.notify(7)
+ * await applied // true
+ */
 export class OffsetWaiters {
   readonly #waiters = new Set<Waiter>()
 
--- /dev/null
+++ b/src/log/restoreMap/index.ts
@@ -0,0 +1,15 @@
+/**
+ * @name restoreMap
+ * @category Log
+ * @summary Replaces the content of a map by entries of a snapshot.
+ *
+ * @param map - The map to change.
+ * @param entries - Keys and values in the order that the map shall have.
+ *
+ * @example
+ * restoreMap(new Map([['a', 1]]), [['b', 2]])
+ */
+export function restoreMap<T> (map: Map<string, T>, entries: Array<[string, T]>): void {
+  map.clear()
+  for (const [key, value] of entries) map.set(key, value)
+}
