Use the usual names for tables of grants and the renewal of sessions

Cause: GrantBook, LendBook and SessionKeeper were names of our own.

Change: GrantTable, LendTable and SessionRenewer.

Result: lint, types and the tests of idempotency, schedule, pages and library pass.

--- a/src/idempotency/IdempotencyClient/index.ts
+++ b/src/idempotency/IdempotencyClient/index.ts
@@ -4,7 +4,7 @@
 import type { IdempotencyCommand } from '../IdempotencyCommand'
 import { IdempotencyResult } from '../IdempotencyResult'
 import type { RecordTransport } from '../RecordTransport'
-import type { SessionKeeper } from '../SessionKeeper'
+import type { SessionRenewer } from '../SessionRenewer'
 import type { StoredResponse } from '../StoredResponse'
 
 interface Claim {
@@ -37,9 +37,9 @@
  */
 export class IdempotencyClient {
   readonly #transport: RecordTransport
-  readonly #sessions: Pick<SessionKeeper, 'session' | 'isHeld' | 'reset'>
+  readonly #sessions: Pick<SessionRenewer, 'session' | 'isHeld' | 'reset'>
 
-  constructor (transport: RecordTransport, sessions: Pick<SessionKeeper, 'session' | 'isHeld' | 'reset'>) {
+  constructor (transport: RecordTransport, sessions: Pick<SessionRenewer, 'session' | 'isHeld' | 'reset'>) {
     this.#transport = transport
     this.#sessions = sessions
   }
--- a/src/idempotency/SessionKeeper/index.ts
+++ b/src/idempotency/SessionRenewer/index.ts
@@ -1,6 +1,6 @@
 import { LeaseHolder } from '../../lease/LeaseHolder'
 
-interface SessionKeeperOptions {
+interface SessionRenewerOptions {
   incarnation: string
   leaseMs: number
   renewEveryMs: number
@@ -9,7 +9,7 @@
 }
 
 /**
- * @name SessionKeeper
+ * @name SessionRenewer
  * @category Idempotency
  * @summary The router's session with the control leader, kept by lease renewals.
  *
@@ -19,18 +19,18 @@
  * @param options - Incarnation of the router, times in milliseconds, sender of renewals.
  *
  * @example
- * const keeper = new SessionKeeper({ incarnation, leaseMs: 5000, renewEveryMs: 1000, renew })
- * keeper.start()
- * keeper.isHeld(session) // checked right before the first byte
+ * const renewer = new SessionRenewer({ incarnation, leaseMs: 5000, renewEveryMs: 1000, renew })
+ * renewer.start()
+ * renewer.isHeld(session) // checked right before the first byte
  */
-export class SessionKeeper {
-  readonly #options: SessionKeeperOptions
+export class SessionRenewer {
+  readonly #options: SessionRenewerOptions
   readonly #lease: LeaseHolder
   #number = 1
   #timer?: NodeJS.Timeout
   #isRunning = false
 
-  constructor (options: SessionKeeperOptions) {
+  constructor (options: SessionRenewerOptions) {
     this.#options = options
     this.#lease = new LeaseHolder({ durationMs: options.leaseMs })
   }
--- a/src/instance/_lib/startIdempotency/index.ts
+++ b/src/instance/_lib/startIdempotency/index.ts
@@ -1,7 +1,7 @@
 import { RenewLeaseReply } from '../../../contract/RenewLeaseReply'
 import type { RenewLeaseRequest } from '../../../contract/RenewLeaseRequest'
 import { IdempotencyClient } from '../../../idempotency/IdempotencyClient'
-import { SessionKeeper } from '../../../idempotency/SessionKeeper'
+import { SessionRenewer } from '../../../idempotency/SessionRenewer'
 import type { LifecycleManager } from '../../../lifecycle/LifecycleManager'
 import type { LinkClient } from '../../../link/LinkClient'
 import { LogClient } from '../../../log/LogClient'
@@ -34,7 +34,7 @@
     }
     throw new Error('No control replica renewed the lease.')
   }
-  const sessions = new SessionKeeper({ incarnation, leaseMs: SESSION_LEASE_MS, renewEveryMs: RENEW_EVERY_MS, renew })
+  const sessions = new SessionRenewer({ incarnation, leaseMs: SESSION_LEASE_MS, renewEveryMs: RENEW_EVERY_MS, renew })
   sessions.start()
   lifecycle.register('session', () => sessions.stop())
   return new IdempotencyClient({
--- a/src/schedule/ZoneScheduler/index.ts
+++ b/src/schedule/ZoneScheduler/index.ts
@@ -1,5 +1,5 @@
-import { GrantBook } from '../_lib/GrantBook'
-import { LendBook } from '../_lib/LendBook'
+import { GrantTable } from '../_lib/GrantTable'
+import { LendTable } from '../_lib/LendTable'
 import type { RouterState } from '../_lib/RouterState'
 import type { PeerMessage } from '../PeerMessage'
 import type { RouterBatch } from '../RouterBatch'
@@ -45,8 +45,8 @@
 export class ZoneScheduler {
   readonly term: number
   readonly #pools: PoolSet
-  readonly #grants: GrantBook
-  readonly #lends: LendBook
+  readonly #grants: GrantTable
+  readonly #lends: LendTable
   readonly #routers = new Map<string, RouterState>()
   readonly #expected = new Set<string>()
   readonly #expectedZones = new Set<string>()
@@ -58,8 +58,8 @@
   constructor (options: ZoneSchedulerOptions) {
     this.term = options.term
     this.#pools = new PoolSet(options)
-    this.#lends = new LendBook({ term: options.term, pools: this.#pools })
-    this.#grants = new GrantBook({ pools: this.#pools, lends: this.#lends })
+    this.#lends = new LendTable({ term: options.term, pools: this.#pools })
+    this.#grants = new GrantTable({ pools: this.#pools, lends: this.#lends })
   }
 
   get isGranting (): boolean {
@@ -215,7 +215,7 @@
     this.#grants.grant(nowMs, this.#routers.get(place.router)!, { ...slot, ...place, charge: 0, lentBy: { zone, id } })
   }
 
-  #listHeldLends (): ReturnType<GrantBook['listLent']> {
+  #listHeldLends (): ReturnType<GrantTable['listLent']> {
     return [...this.#routers.values()].flatMap(state => this.#grants.listLent(state))
   }
 }
--- a/src/schedule/_lib/GrantBook/index.ts
+++ b/src/schedule/_lib/GrantTable/index.ts
@@ -1,7 +1,7 @@
 import type { RouterReport } from '../../RouterReport'
 import type { SchedulerEffect } from '../../SchedulerEffect'
 import type { GrantRecord } from '../GrantRecord'
-import type { LendBook } from '../LendBook'
+import type { LendTable } from '../LendTable'
 import type { PoolSet } from '../PoolSet'
 import type { RouterState } from '../RouterState'
 
@@ -25,12 +25,12 @@
 }
 
 /** The grants that the routers of the zone hold: charges them, settles them and frees their slots. */
-export class GrantBook {
+export class GrantTable {
   readonly #pools: PoolSet
-  readonly #lends: LendBook
+  readonly #lends: LendTable
   #effects: SchedulerEffect[] = []
 
-  constructor (options: { pools: PoolSet, lends: LendBook }) {
+  constructor (options: { pools: PoolSet, lends: LendTable }) {
     this.#pools = options.pools
     this.#lends = options.lends
   }
--- a/src/schedule/_lib/LendBook/index.ts
+++ b/src/schedule/_lib/LendTable/index.ts
@@ -27,7 +27,7 @@
 }
 
 /** Exchange with the schedulers of other zones: totals, backlogs, and slots lent in both directions. */
-export class LendBook {
+export class LendTable {
   readonly #term: number
   readonly #pools: PoolSet
   readonly #peers: PeerRegistry
--- a/src/target/DrainState/index.ts
+++ b/src/target/DrainState/index.ts
@@ -32,7 +32,7 @@
  * @description
  * A target is closed while a maintenance window holds, an operator drains it, the platform's list says that it leaves
  * or it reports `draining` itself. Windows are evaluated from the settings and the local clock alone, so a router that
- * is cut off from control closes its targets in time.
+ * is partitioned from control closes its targets in time.
  *
  * @param options - Settings, other sources, clock.
  *
