Serve the platform's callers by routes, with a registry of route documents

The product had no routes by host and path, no versioned whole documents and no control that finds its replicas from three seeds, so it could not run on the users' platform. New rooms: routing (pure decisions and state machine), gateway (one request from head to answer), and the processes startGateway and startRegistry; platform/ translates headers, documents, the list and operator calls. The replicated log learns peers, joins through any member, replaces lost voters by learners and grows to one voter more than twice the tolerated losses.

--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -3,7 +3,7 @@
 
 export default {
   testEnvironment: 'node',
-  testMatch: ['<rootDir>/src/**/test.ts', '<rootDir>/test/**/*.test.ts'],
+  testMatch: ['<rootDir>/src/**/test.ts', '<rootDir>/platform/**/test.ts', '<rootDir>/test/**/*.test.ts'],
   transform: {
     '^.+\\.(ts|js|mjs)$': ['@swc/jest', { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' }, module: { type: 'commonjs' } }]
   },
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
 
 // esbuild settings shared by the binary and the tests. Without mainFields the UMD build of jsonc-parser
 // fails at run time; without the externals oclif pulls in the whole TypeScript compiler.
-export async function bundle (outfile, entryPoint = 'src/main.ts') {
+export async function bundle (outfile, entryPoint = 'src/main.ts', options = {}) {
   await build({
     entryPoints: [entryPoint],
     outfile,
@@ -15,6 +15,7 @@
     sourcemap: 'inline',
     sourcesContent: false,
     logLevel: 'warning',
-    define: { 'import.meta.url': '__filename' }
+    define: { 'import.meta.url': '__filename' },
+    ...options
   })
 }
--- /dev/null
+++ b/src/contract/CallFacts/index.ts
@@ -0,0 +1,25 @@
+import { z } from 'zod'
+import { PromptPart } from '../PromptPart'
+
+/**
+ * @name CallFacts
+ * @category Contract
+ * @summary What the headers of a caller's request say.
+ *
+ * @description
+ * `id`: of this attempt of the caller. `deadlineMs`: how long the caller waits. `outputTokens`: the most that the model
+ * may generate. `lastEventId`: the caller goes on with a stream that broke off.
+ *
+ * @example
+ * CallFacts.parse({ id: '9c41', parts: [], promptTokens: 0, outputTokens: 0 })
+ */
+export const CallFacts = z.object({
+  id: z.string(),
+  key: z.string().optional(),
+  deadlineMs: z.number().nonnegative().optional(),
+  parts: z.array(PromptPart),
+  promptTokens: z.number().nonnegative(),
+  outputTokens: z.number().nonnegative(),
+  lastEventId: z.string().optional()
+})
+export type CallFacts = z.infer<typeof CallFacts>
--- a/src/contract/LogGroup/index.ts
+++ b/src/contract/LogGroup/index.ts
@@ -7,10 +7,10 @@
  *
  * @description
  * `settings`: changes of the settings tree. `idempotency`: records of keyed calls. `commands`: intents and results of
- * commands to targets.
+ * commands to targets. `documents`: versions of the route document.
  *
  * @example
  * LogGroup.parse('settings')
  */
-export const LogGroup = z.enum(['settings', 'idempotency', 'commands'])
+export const LogGroup = z.enum(['settings', 'idempotency', 'commands', 'documents'])
 export type LogGroup = z.infer<typeof LogGroup>
--- /dev/null
+++ b/src/contract/PromptPart/index.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod'
+
+/**
+ * @name PromptPart
+ * @category Contract
+ * @summary A part of a prompt, in the order of the prompt. Requests with the same first parts share what a target keeps of them.
+ *
+ * @example
+ * PromptPart.parse({ id: '5c1e07a2', tokens: 800 })
+ */
+export const PromptPart = z.object({ id: z.string(), tokens: z.number().nonnegative() })
+export type PromptPart = z.infer<typeof PromptPart>
--- /dev/null
+++ b/src/gateway/EventSplitter/test.ts
@@ -0,0 +1,24 @@
+import { EventSplitter } from '.'
+
+const add = (splitter: EventSplitter, text: string) => {
+  const { bytes, lastEventId } = splitter.add(Buffer.from(text))
+  return [bytes?.toString(), lastEventId]
+}
+
+describe('EventSplitter', () => {
+  // Guards against a torn event in a stream that goes on at another target.
+  it('passes on whole events only, whatever the chunks', () => {
+    const splitter = new EventSplitter()
+    expect(add(splitter, 'id: 1\ndata: a\n\nid: 2\nda')).toEqual(['id: 1\ndata: a\n\n', '1'])
+    expect(splitter.pendingBytes).toBe(8)
+    expect(add(splitter, 'ta: b\n')).toEqual([undefined, '1'])
+    expect(add(splitter, '\n')).toEqual(['id: 2\ndata: b\n\n', '2'])
+    expect(splitter.pendingBytes).toBe(0)
+  })
+
+  it('keeps the last id over events without one', () => {
+    const splitter = new EventSplitter()
+    expect(add(splitter, 'id:9\ndata: x\n\n: comment\n\n')).toEqual(['id:9\ndata: x\n\n: comment\n\n', '9'])
+    expect(add(splitter, 'data: y\n\n')).toEqual(['data: y\n\n', '9'])
+  })
+})
--- /dev/null
+++ b/src/gateway/GatewayCall/index.ts
@@ -0,0 +1,189 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Dispatcher } from 'undici'
+import { AppError } from '../../contract/AppError'
+import type { CallFacts } from '../../contract/CallFacts'
+import { convertToAppError } from '../../contract/convertToAppError'
+import type { Route } from '../../contract/Route'
+import { readBody } from '../../instance/readBody'
+import type { AttemptResult } from '../../routing/AttemptResult'
+import { chooseService } from '../../routing/chooseService'
+import { planAttempts } from '../../routing/planAttempts'
+import type { RouteTable } from '../../routing/RouteTable'
+import { AnswerWriter } from '../AnswerWriter'
+import { CallAttempt } from '../CallAttempt'
+import type { GatewayContext } from '../GatewayContext'
+import { refuseCall } from '../refuseCall'
+
+type Plan = ReturnType<typeof planAttempts>
+type Order = Extract<ReturnType<Plan['next']>, { done?: false }>['value']
+type Conclusion = Extract<ReturnType<Plan['next']>, { done: true }>['value']
+
+interface AdmittedCall {
+  facts: CallFacts
+  route: Route
+  table: RouteTable
+  account: string | undefined
+  service: string
+  body: Buffer
+  deadlineAtMs: number
+}
+
+/** The share of a target's connections that the routers use together; the rest is left for connections that are being closed. */
+const CONNECTION_SHARE = 0.8
+const MIN_CONNECTIONS = 4
+const RETRY_AFTER_S = 0.5
+
+/**
+ * @name GatewayCall
+ * @category Gateway
+ * @summary One request of a caller, from its head to its final answer.
+ *
+ * @description
+ * Finds the route and the client account, reads the body, and runs the attempts that planAttempts orders. Every
+ * request ends with exactly one answer or with a closed connection, and with one log line.
+ *
+ * @example
+ * await new GatewayCall(request, response, context).run()
+ */
+export class GatewayCall {
+  readonly #request: IncomingMessage
+  readonly #response: ServerResponse
+  readonly #context: GatewayContext
+  readonly #arrivedAtMs = performance.now()
+  readonly #targets: string[] = []
+  #attempt: CallAttempt | undefined
+  #isLeft = false
+  #isExpired = false
+
+  constructor (request: IncomingMessage, response: ServerResponse, context: GatewayContext) {
+    this.#request = request
+    this.#response = response
+    this.#context = context
+  }
+
+  async run (): Promise<void> {
+    const facts = this.#context.codec.readCall(this.#request.headers)
+    try {
+      const call = await this.#admit(facts)
+      await this.#serve(call)
+    } catch (thrown) {
+      const error = convertToAppError(thrown)
+      refuseCall(this.#response, error)
+      this.#log(facts, { outcome: error.outcome, kind: error.kind, reason: error.message })
+    }
+  }
+
+  async #admit (facts: CallFacts): Promise<AdmittedCall> {
+    const { getTable, budget } = this.#context
+    const table = getTable()
+    if (!table) throw new AppError('control-unavailable', 'No route document is known yet.', { retryAfterS: RETRY_AFTER_S })
+    const route = table.findRoute(this.#request.headers.host ?? '', this.#request.url ?? '/')
+    if (!route) throw new AppError('not-found', 'No route leads there.')
+    const account = facts.key === undefined ? undefined : table.findAccount(facts.key)
+    if (account === undefined && !route.isOpen && table.document.accounts.length > 0) throw new AppError('unauthenticated', 'The key is unknown.')
+    const body = await readBody(this.#request, { maxBytes: table.document.limits.maxBodyBytes })
+    const service = chooseService(route.split, Math.random())
+    budget.recordRequest(service, this.#arrivedAtMs)
+    const deadlineAtMs = this.#arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
+    return { facts, route, table, account, service, body, deadlineAtMs }
+  }
+
+  async #serve (call: AdmittedCall): Promise<void> {
+    const { route, facts, service } = call
+    const isRepeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable)
+    this.#response.once('close', () => this.#handleClose(route))
+    const timer = setTimeout(() => this.#expire(), Math.max(1, call.deadlineAtMs - performance.now()))
+    const { budget, loads } = this.#context
+    const plan = planAttempts({ isRepeatable, maxAttempts: route.maxAttempts, tryTakeRepeat: () => budget.tryTake(service, { routers: loads.routers, nowMs: performance.now() }) })
+    let step = plan.next()
+    while (!step.done) step = plan.next(await this.#runAttempt(call, step.value))
+    clearTimeout(timer)
+    this.#conclude(facts, step.value)
+  }
+
+  async #runAttempt (call: AdmittedCall, order: Order): Promise<AttemptResult> {
+    const { placer, loads, connections } = this.#context
+    if (this.#isLeft) return { type: 'left' }
+    if (this.#isExpired) return { type: 'expired', isSent: false, isStarted: this.#response.headersSent }
+    const { facts, service, route, table } = call
+    const startedAtMs = performance.now()
+    const { engine, maxConnections = 100 } = table.findService(service) ?? {}
+    const place = placer.place({ service, isEngine: engine !== undefined, parts: facts.parts, promptTokens: facts.promptTokens, excluded: order.excluded }, startedAtMs)
+    if (!place) return { type: 'no-target' }
+    const { target, readMs } = place
+    this.#targets.push(target.id)
+    const load = loads.add(target.id, { readMs, tokens: facts.promptTokens })
+    if (engine) placer.holders.record(target.id, facts.parts, startedAtMs)
+    const attempt = new CallAttempt({
+      codec: this.#context.codec,
+      callId: facts.id,
+      target: target.id,
+      isStream: route.kind === 'stream',
+      writer: new AnswerWriter(this.#response),
+      onProgress: load.read
+    })
+    this.#attempt = attempt
+    const limit = Math.max(MIN_CONNECTIONS, Math.floor(maxConnections * CONNECTION_SHARE / loads.routers))
+    connections.dispatch(target, { limit, request: this.#createRequest(call, { targetId: target.id, lastEventId: order.lastEventId }), handler: attempt.exchange })
+    const result = await attempt.result
+    load.release()
+    this.#recordHealth(result)
+    return result
+  }
+
+  #createRequest (call: AdmittedCall, { targetId, lastEventId }: { targetId: string, lastEventId: string | undefined }): Dispatcher.DispatchOptions {
+    const { facts, account, body, deadlineAtMs } = call
+    const remainingMs = Math.max(1, Math.floor(deadlineAtMs - performance.now()))
+    return {
+      method: this.#request.method as Dispatcher.HttpMethod,
+      path: this.#request.url ?? '/',
+      headers: this.#context.codec.createTargetHeaders(this.#request.rawHeaders, { remainingMs, targetId, account, lastEventId: lastEventId ?? facts.lastEventId }),
+      body: body.length > 0 ? body : null
+    }
+  }
+
+  #recordHealth (result: AttemptResult): void {
+    const { circuits } = this.#context.placer
+    const nowMs = performance.now()
+    if (result.type === 'answered') circuits.recordSuccess(this.#targets.at(-1)!)
+    if (result.type === 'unsent') circuits.open(result.target, nowMs)
+    if (result.type === 'lost') circuits.recordFailure(result.target, nowMs)
+  }
+
+  #handleClose (route: Route): void {
+    if (this.#response.writableFinished) return
+    this.#isLeft = true
+    if (route.kind === 'non-idempotent') this.#attempt?.detach()
+    else this.#attempt?.cancel('left')
+  }
+
+  #expire (): void {
+    this.#isExpired = true
+    this.#attempt?.cancel('expired')
+  }
+
+  #conclude (facts: CallFacts, conclusion: Conclusion): void {
+    switch (conclusion.type) {
+      case 'done':
+        return this.#log(facts, this.#isLeft ? { outcome: 'caller-gone' } : { outcome: 'complete' })
+      case 'deliver': {
+        const { status, headers, body } = this.#attempt!.failure!
+        new AnswerWriter(this.#response).sendWhole({ status, headers }, body)
+        return this.#log(facts, { outcome: 'complete', reason: 'The target reported a failure.' })
+      }
+      case 'refuse':
+        throw new AppError('no-target', `The request has not run: ${conclusion.reason}.`, { retryAfterS: conclusion.retryAfterS ?? RETRY_AFTER_S })
+      case 'fail':
+        throw new AppError(conclusion.reason === 'expired' ? 'target-timeout' : 'target-failed', 'The answer of the target is missing.')
+      case 'break':
+        this.#response.destroy()
+        return this.#log(facts, { outcome: 'unknown', reason: 'The stream broke off.' })
+    }
+  }
+
+  #log (facts: CallFacts, result: { outcome: string, kind?: string, reason?: string }): void {
+    const durationMs = Math.round(performance.now() - this.#arrivedAtMs)
+    const level = result.outcome === 'complete' || result.outcome === 'caller-gone' ? 'debug' : 'info'
+    this.#context.logger[level]('A request ended.', { requestId: facts.id, path: this.#request.url, status: this.#response.statusCode, targets: this.#targets, durationMs, ...result })
+  }
+}
--- a/src/instance/_lib/ControlLogs/index.ts
+++ b/src/instance/_lib/ControlLogs/index.ts
@@ -1,8 +1,9 @@
 import { join } from 'node:path'
 import { AppError } from '../../../contract/AppError'
 import { ConfirmReadRequest } from '../../../contract/ConfirmReadRequest'
-import type { ControlSettings } from '../../../contract/ControlSettings'
+import type { ListenAddress } from '../../../contract/ListenAddress'
 import type { LogGroup } from '../../../contract/LogGroup'
+import type { PeerAddress } from '../../../contract/PeerAddress'
 import { ProposeRequest } from '../../../contract/ProposeRequest'
 import { ReplicateRequest } from '../../../contract/ReplicateRequest'
 import type { LinkOptions } from '../../../link/LinkOptions'
@@ -18,7 +19,17 @@
 import { SnapshotParts } from '../SnapshotParts'
 
 interface ControlLogsOptions {
-  settings: ControlSettings
+  settings: {
+    instance: string
+    dataDir: string
+    /** The instances that form the cluster. */
+    replicas: readonly PeerAddress[]
+    snapshotEvery: number
+    mayForm?: boolean
+    maxVoters?: number
+  }
+  /** Finds an instance that joined later. */
+  findAddress?: (instance: string) => ListenAddress | undefined
   /** State machine of each group that runs. */
   machines: Partial<Record<LogGroup, StateMachine>>
   logger: PartLogger
@@ -74,7 +85,7 @@
   start (linkOptions: Pick<LinkOptions, 'identity' | 'clusterKey'>): void {
     const { settings, machines, logger, onFatal } = this.#options
     const peers = settings.replicas.filter(({ instance }) => instance !== settings.instance)
-    this.#links = new ReplicaLinks(peers, { ...linkOptions, handlers: new Map() })
+    this.#links = new ReplicaLinks(peers, { ...linkOptions, handlers: new Map() }, this.#options.findAddress)
     for (const [group, storage] of this.#storages) {
       const task = new LogTask({
         storage,
@@ -82,6 +93,8 @@
         transport: this.#links.createTransport(group),
         peers: peers.map(({ instance }) => instance),
         snapshotEvery: settings.snapshotEvery,
+        mayForm: settings.mayForm,
+        maxVoters: settings.maxVoters,
         onFatal,
         onRoleChanged: change => logger.info('The role changed.', { group, ...change })
       })
--- a/src/instance/_lib/ReplicaLinks/index.ts
+++ b/src/instance/_lib/ReplicaLinks/index.ts
@@ -1,4 +1,5 @@
 import { AppError } from '../../../contract/AppError'
+import type { ListenAddress } from '../../../contract/ListenAddress'
 import type { LogGroup } from '../../../contract/LogGroup'
 import type { PeerAddress } from '../../../contract/PeerAddress'
 import { LinkClient } from '../../../link/LinkClient'
@@ -6,16 +7,21 @@
 import type { ReplicaTransport } from '../../../log/ReplicaTransport'
 import { SnapshotParts } from '../SnapshotParts'
 
-const PING_INTERVAL_MS = 1_000
+const PING_INTERVAL_MS = 500
 /** A link without a reply for this time is replaced: behind a silent partition, TCP alone would wait for minutes. */
-const PING_TIMEOUT_MS = 2_000
+const PING_TIMEOUT_MS = 1_000
 
 /** Links of a control process to the other replicas. Each replica sends on its own links, and replies likewise. */
 export class ReplicaLinks {
   readonly #clients: Map<string, LinkClient>
+  readonly #options: LinkOptions
+  readonly #findAddress: (instance: string) => ListenAddress | undefined
   readonly #timer: NodeJS.Timeout
 
-  constructor (peers: readonly PeerAddress[], options: LinkOptions) {
+  /** `findAddress` is asked for instances that joined the cluster later. */
+  constructor (peers: readonly PeerAddress[], options: LinkOptions, findAddress: (instance: string) => ListenAddress | undefined = () => undefined) {
+    this.#options = options
+    this.#findAddress = findAddress
     this.#clients = new Map(peers.map(peer => [peer.instance, new LinkClient(peer, options)]))
     this.#timer = setInterval(() => {
       for (const client of this.#clients.values()) void checkLink(client)
@@ -25,18 +31,28 @@
   createTransport (group: LogGroup): ReplicaTransport {
     return {
       send: message => {
-        const client = this.#clients.get(message.to.split(':')[0])
+        const client = this.#getClient(message.to.split(':')[0])
         if (!client) return
         for (const request of SnapshotParts.listParts(group, message)) client.send('replicate', request)
       },
       request: (instance, type, body, options) => {
-        const client = this.#clients.get(instance)
+        const client = this.#getClient(instance)
         if (!client) return Promise.reject(new AppError('control-unavailable', `There is no link to ${instance}.`))
         return client.request(type, { group, command: body }, options)
       }
     }
   }
 
+  #getClient (instance: string): LinkClient | undefined {
+    const client = this.#clients.get(instance)
+    if (client) return client
+    const address = this.#findAddress(instance)
+    if (!address) return undefined
+    const added = new LinkClient(address, this.#options)
+    this.#clients.set(instance, added)
+    return added
+  }
+
   close (): void {
     clearInterval(this.#timer)
     for (const client of this.#clients.values()) client.close()
--- /dev/null
+++ b/src/instance/startGateway/index.ts
@@ -0,0 +1,127 @@
+import { randomUUID } from 'node:crypto'
+import type { CallCodec } from '../../contract/CallCodec'
+import type { DocumentCodec } from '../../contract/DocumentCodec'
+import type { GatewaySettings } from '../../contract/GatewaySettings'
+import type { LinkIdentity } from '../../contract/LinkIdentity'
+import type { StoredDocument } from '../../contract/StoredDocument'
+import type { TargetEntry } from '../../contract/TargetEntry'
+import { GatewayCall } from '../../gateway/GatewayCall'
+import { Placer } from '../../gateway/Placer'
+import { TargetConnections } from '../../gateway/TargetConnections'
+import type { LifecycleManager } from '../../lifecycle/LifecycleManager'
+import { FleetRetryBudget } from '../../routing/FleetRetryBudget'
+import { RouteTable } from '../../routing/RouteTable'
+import { TargetListReader } from '../../routing/TargetListReader'
+import { TargetLoads } from '../../routing/TargetLoads'
+import type { TargetSource } from '../../routing/TargetSource'
+import type { Metrics } from '../../telemetry/Metrics'
+import type { PartLogger } from '../../telemetry/PartLogger'
+import { FleetFollower } from '../_lib/FleetFollower'
+import { GracefulStop } from '../_lib/GracefulStop'
+import { sendMetrics } from '../sendMetrics'
+import { startHttpServer } from '../startHttpServer'
+
+interface StartGatewayOptions {
+  documents: DocumentCodec
+  calls: CallCodec
+  source: TargetSource
+  logger: PartLogger
+  metrics: Metrics
+  lifecycle: LifecycleManager
+}
+
+interface RunningGateway {
+  /** More registry replicas to follow, after the settings changed. */
+  addSeeds: (hosts: readonly string[]) => void
+}
+
+/** The router reads the list of targets itself when the registry's copy is older than this. */
+const LIST_STALE_MS = 1_800
+const LIST_INTERVAL_MS = 1_000
+/** Time in which the load balancer notices a failing readiness check. */
+const LAME_DUCK_MS = 3_000
+/** Kept from the time between the request to stop and the end, for the end itself. */
+const STOP_MARGIN_MS = 500
+
+/**
+ * @name startGateway
+ * @category Instance
+ * @summary Starts a router that serves by routes.
+ *
+ * @description
+ * The router is ready once it knows a route document and the list of targets. It keeps both while the registry is out
+ * of reach, and then reads the list itself.
+ *
+ * @param settings - Checked settings of the process.
+ * @param options - Codecs, source of the list, logger, metrics and lifecycle manager.
+ * @returns Functions for the owner of the process.
+ * @throws Error if an address can't be bound.
+ *
+ * @example
+ * const gateway = await startGateway(settings, { documents, calls, source, logger, metrics, lifecycle })
+ */
+export async function startGateway (settings: GatewaySettings, options: StartGatewayOptions): Promise<RunningGateway> {
+  const { logger, lifecycle, metrics } = options
+  let table: RouteTable | undefined
+  let targets: readonly TargetEntry[] = []
+  let isListKnown = false
+  const loads = new TargetLoads()
+  const listTargets = (service: string): TargetEntry[] => targets.filter(entry => entry.service === service && !entry.isDraining)
+  const placer = new Placer({ zone: settings.zone, loads, listTargets })
+  const connections = new TargetConnections()
+  lifecycle.register('target connections', () => connections.close())
+  const handleTargets = (entries: readonly TargetEntry[]): void => {
+    const isChanged = !isListKnown || JSON.stringify(entries) !== JSON.stringify(targets)
+    targets = entries
+    isListKnown = true
+    if (!isChanged) return
+    connections.closeOthers(entries)
+    logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
+  }
+  const stop = new GracefulStop({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - STOP_MARGIN_MS, countDetached: () => 0 })
+  const context = { codec: options.calls, getTable: () => table, placer, loads, connections, budget: new FleetRetryBudget(settings.retries), logger, metrics }
+  const front = await startHttpServer(settings.front, [
+    { method: 'all', path: '*', handler: (request, response) => new GatewayCall(request, response, context).run() }
+  ])
+  front.server.requestTimeout = 0
+  const handleDocument = ({ version, content }: StoredDocument): void => {
+    table = new RouteTable(options.documents.decode(content))
+    const { headerTimeoutMs, idleTimeoutMs } = table.document.limits
+    front.server.headersTimeout = headerTimeoutMs
+    front.server.keepAliveTimeout = idleTimeoutMs
+    logger.info('A route document is in force.', { version, routes: table.document.routes.length, accounts: table.document.accounts.length })
+  }
+  const identity: LinkIdentity = { instance: settings.instance.toLowerCase(), incarnation: randomUUID(), zone: settings.zone, role: 'router' }
+  const follower = new FleetFollower({
+    seeds: settings.seeds.map(({ host }) => host),
+    linkPort: settings.linkPort,
+    linkOptions: { identity, clusterKey: settings.clusterKey, handlers: new Map(), onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message }) },
+    logger,
+    onDocument: handleDocument,
+    onTargets: handleTargets,
+    createReport: () => ({ targets: loads.createReport(), accounts: [] }),
+    onSummary: summary => loads.setOthers(summary, performance.now())
+  })
+  follower.start()
+  lifecycle.register('registry', () => follower.close())
+  const startedAtMs = performance.now()
+  const reader = new TargetListReader({
+    source: options.source,
+    intervalMs: LIST_INTERVAL_MS,
+    isNeeded: () => performance.now() - Math.max(startedAtMs, follower.targetsReadAtMs) > LIST_STALE_MS,
+    onRead: handleTargets,
+    onError: error => logger.warn('The list of targets can not be read.', { reason: String(error) })
+  })
+  reader.start()
+  lifecycle.register('list of targets', () => reader.close())
+  const isReady = (): boolean => table !== undefined && isListKnown && !stop.isStopping
+  const ready = await startHttpServer(settings.ready, [
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(isReady() ? 200 : 503).end() } },
+    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) }
+  ])
+  lifecycle.register('readiness', () => { ready.server.close(); ready.server.closeAllConnections() })
+  stop.watch(front.server)
+  lifecycle.register('callers', () => stop.close())
+  logger.info('Started.', { port: front.address.port })
+  return { addSeeds: hosts => follower.addReplicas(hosts) }
+}
--- /dev/null
+++ b/src/instance/startRegistry/index.ts
@@ -0,0 +1,146 @@
+import { randomUUID } from 'node:crypto'
+import { AppError } from '../../contract/AppError'
+import type { DocumentCodec } from '../../contract/DocumentCodec'
+import { errorTable } from '../../contract/errorTable'
+import type { FleetView } from '../../contract/FleetView'
+import type { LinkIdentity } from '../../contract/LinkIdentity'
+import { LoadReport } from '../../contract/LoadReport'
+import type { RegistrySettings } from '../../contract/RegistrySettings'
+import { WatchFleetRequest } from '../../contract/WatchFleetRequest'
+import type { LifecycleManager } from '../../lifecycle/LifecycleManager'
+import { LinkServer } from '../../link/LinkServer'
+import type { MessageHandler } from '../../link/MessageHandler'
+import { DocumentTable } from '../../routing/DocumentTable'
+import { LoadTable } from '../../routing/LoadTable'
+import { TargetListReader } from '../../routing/TargetListReader'
+import type { TargetSource } from '../../routing/TargetSource'
+import type { PartLogger } from '../../telemetry/PartLogger'
+import { ControlLogs } from '../_lib/ControlLogs'
+import { FleetWatchers } from '../_lib/FleetWatchers'
+
+/** How often the leader reads the list of targets; the list itself lags by most of a second. */
+const LIST_INTERVAL_MS = 500
+/** An operator turns to another replica after a second without a reply. */
+const CALL_TIMEOUT_MS = 900
+
+interface StartRegistryOptions {
+  codec: DocumentCodec
+  source: TargetSource
+  logger: PartLogger
+  lifecycle: LifecycleManager
+}
+
+interface RunningRegistry {
+  /** Stores a document unless its version is held already. Resolves with the version that is in force once that is durable. */
+  replaceDocument: (content: Uint8Array) => Promise<number>
+  /** The newest document, confirmed with a majority; undefined if there is none yet. */
+  readDocument: () => Promise<Uint8Array | undefined>
+  isLeader: () => boolean
+  /** More replicas that may know the leader, after the settings changed. */
+  addSeeds: (hosts: readonly string[]) => void
+}
+
+/**
+ * @name startRegistry
+ * @category Instance
+ * @summary Starts a replica of the registry: route documents, the list of targets and load reports.
+ *
+ * @description
+ * Route documents are in the replicated log. The leader also reads the list of targets for all routers and sums their
+ * load reports; both are soft state that a new leader has again within a second.
+ *
+ * @param settings - Checked settings of the process.
+ * @param options - Codec of the documents, source of the list, logger and lifecycle manager.
+ * @returns Functions for the operator API.
+ * @throws AppError `log-corrupted` or `disk-failed`; Error if an address can't be bound.
+ *
+ * @example
+ * const registry = await startRegistry(settings, { codec, source, logger, lifecycle })
+ * await registry.replaceDocument(content)
+ */
+export async function startRegistry (settings: RegistrySettings, { codec, source, logger, lifecycle }: StartRegistryOptions): Promise<RunningRegistry> {
+  const table: DocumentTable = new DocumentTable(() => {
+    logger.info('A route document is in force.', { version: table.version, offset: table.offset })
+    watchers.notify()
+  })
+  const logs = await openLogs(settings, table, logger)
+  const isLeader = (): boolean => getStatus(logs).role === 'leader'
+  const reader = new TargetListReader({
+    source,
+    intervalMs: LIST_INTERVAL_MS,
+    isNeeded: isLeader,
+    onChange: entries => {
+      logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
+      watchers.notify()
+    },
+    onError: error => logger.warn('The list of targets can not be read.', { reason: String(error) })
+  })
+  const watchers = new FleetWatchers({ getView: request => createView(request, { logs, table, reader }) })
+  const loads = new LoadTable()
+  const handlers = new Map<string, MessageHandler>([
+    ...logs.handlers,
+    ['watchFleet', body => watchers.watch(WatchFleetRequest.parse(body))],
+    ['fetchDocument', () => table.document ?? null],
+    ['reportLoad', (body, link) => {
+      if (!isLeader()) throw new AppError('not-leader', 'This replica does not merge load reports.')
+      loads.record(link.peer.instance, LoadReport.parse(body), performance.now())
+      return loads.computeSummary(link.peer.instance, performance.now())
+    }]
+  ])
+  // The incarnation in the identity of the link is the process's; that of the disk is in the replica id.
+  const identity: LinkIdentity = { instance: settings.host, incarnation: randomUUID(), zone: settings.zone, role: 'control' }
+  const links = new LinkServer({ identity, clusterKey: settings.clusterKey, handlers })
+  await links.listen({ host: settings.host, port: settings.linkPort })
+  lifecycle.register('links', () => links.close())
+  logs.start({ identity, clusterKey: settings.clusterKey })
+  lifecycle.register('logs', () => logs.close())
+  reader.start()
+  lifecycle.register('list of targets', () => reader.close())
+  return {
+    isLeader,
+    addSeeds: hosts => logs.getLog('documents').addPeers(hosts),
+    replaceDocument: async content => {
+      const { version } = codec.decode(content)
+      return Number(await logs.getLog('documents').propose({ version, content }, { timeoutMs: CALL_TIMEOUT_MS }))
+    },
+    readDocument: async () => {
+      await logs.getLog('documents').confirmRead({ timeoutMs: CALL_TIMEOUT_MS })
+      return table.document?.content
+    }
+  }
+}
+
+function openLogs (settings: RegistrySettings, table: DocumentTable, logger: PartLogger): Promise<ControlLogs> {
+  const { host, zone, linkPort, dataDir, snapshotEvery, toleratedLosses } = settings
+  const seeds = settings.seeds.map(seed => seed.host)
+  return ControlLogs.open({
+    settings: {
+      instance: host,
+      dataDir,
+      snapshotEvery,
+      maxVoters: 2 * toleratedLosses + 1,
+      // A replica that is no seed would form a second cluster beside that of the seeds.
+      mayForm: settings.mayForm && seeds.includes(host),
+      replicas: seeds.map(seed => ({ instance: seed, zone, host: seed, port: linkPort }))
+    },
+    findAddress: instance => ({ host: instance, port: linkPort }),
+    machines: { documents: table },
+    logger,
+    onFatal: error => {
+      logger.error('The process ends.', { kind: error.kind, reason: error.message })
+      process.exit(errorTable[error.kind].exitCode)
+    }
+  })
+}
+
+function getStatus (logs: ControlLogs): ReturnType<ControlLogs['listStatuses']>[number] {
+  return logs.listStatuses()[0]
+}
+
+function createView (request: WatchFleetRequest, { logs, table, reader }: { logs: ControlLogs, table: DocumentTable, reader: TargetListReader }): FleetView {
+  const { role, members } = getStatus(logs)
+  const view: FleetView = { version: table.version, replicas: members.map(({ instance }) => instance), isLeader: role === 'leader', targetRevision: request.targetRevision }
+  if (role !== 'leader' || reader.readAtMs === -Infinity) return view
+  const isKnown = reader.revision === request.targetRevision
+  return { ...view, targetRevision: reader.revision, targetAgeMs: performance.now() - reader.readAtMs, targets: isKnown ? undefined : reader.entries }
+}
--- a/src/link/LinkClient/index.ts
+++ b/src/link/LinkClient/index.ts
@@ -5,8 +5,8 @@
 import type { LinkOptions } from '../LinkOptions'
 
 const FIRST_RECONNECT_DELAY_MS = 50
-const MAX_RECONNECT_DELAY_MS = 1_000
-const CONNECT_TIMEOUT_MS = 2_000
+const MAX_RECONNECT_DELAY_MS = 500
+const CONNECT_TIMEOUT_MS = 1_000
 
 /**
  * @name LinkClient
--- a/src/log/LogTask/index.ts
+++ b/src/log/LogTask/index.ts
@@ -8,6 +8,7 @@
 import { PendingResult } from '../_lib/PendingResult'
 import { Proposals } from '../_lib/Proposals'
 import { resolveInstance } from '../_lib/resolveInstance'
+import { listCommands } from '../_lib/listCommands'
 import { runUntilDeadline } from '../_lib/runUntilDeadline'
 import { Snapshots } from '../_lib/Snapshots'
 import type { LogStatus } from '../LogStatus'
@@ -19,8 +20,6 @@
 
 const DEFAULT_TIMEOUT_MS = 5_000
 const MAX_COMMAND_BYTES = 4 * 1024 * 1024
-/** Keeps a reply with many entries below the largest frame of a link. */
-const MAX_LISTED_BYTES = 4 * 1024 * 1024
 
 /**
  * @name LogTask
@@ -64,6 +63,8 @@
       snapshot: storage.snapshot,
       entries: storage.entries,
       peers: options.peers,
+      mayForm: options.mayForm,
+      maxVoters: options.maxVoters,
       random: Math.random,
       createClusterId: randomUUID,
       nowMs: performance.now()
@@ -95,6 +96,11 @@
     await this.#options.storage.close()
   }
 
+  /** More instances where a leader may be found. */
+  addPeers (instances: readonly string[]): void {
+    this.#core.addPeers(instances)
+  }
+
   getStatus (): LogStatus {
     return this.#core.getStatus()
   }
@@ -158,16 +164,7 @@
   }
 
   listEntries (afterOffset: number, maxEntries: number): Array<{ offset: number, command: unknown }> | undefined {
-    if (afterOffset < this.#core.baseOffset) return undefined
-    const entries: Array<{ offset: number, command: unknown }> = []
-    let bytes = 0
-    for (let offset = afterOffset + 1; offset <= this.#appliedOffset && entries.length < maxEntries; offset++) {
-      const { command } = this.#core.getEntry(offset)!
-      bytes += command?.length ?? 0
-      if (entries.length > 0 && bytes > MAX_LISTED_BYTES) break
-      entries.push({ offset, command: command ? cborCodec.decode(command) : null })
-    }
-    return entries
+    return listCommands(this.#core, { afterOffset, throughOffset: this.#appliedOffset, maxEntries })
   }
 
   async waitForCommit (afterOffset: number, waitMs: number): Promise<void> {
--- a/src/log/LogTaskOptions/index.ts
+++ b/src/log/LogTaskOptions/index.ts
@@ -10,7 +10,8 @@
  *
  * @description
  * `peers`: the other instances of the cluster. `snapshotEvery`: entries between snapshots. `onFatal`: called once when
- * the disk fails or the log is corrupted; the process must end. `onRoleChanged`: for the operator's log.
+ * the disk fails or the log is corrupted; the process must end. `onRoleChanged`: for the operator's log. `mayForm` and
+ * `maxVoters` are those of ReplicaCoreOptions.
  *
  * @example
  * const options: LogTaskOptions = { storage, machine, transport, peers: [], snapshotEvery: 1000, onFatal: error => process.exit(9) }
@@ -21,6 +22,8 @@
   transport: ReplicaTransport
   peers: readonly string[]
   snapshotEvery: number
+  mayForm?: boolean
+  maxVoters?: number
   onFatal: (error: AppError) => void
   onRoleChanged?: (change: { role: string, term: number, leader: string | undefined }) => void
 }
--- a/src/log/ReplicaCore/index.ts
+++ b/src/log/ReplicaCore/index.ts
@@ -66,6 +66,11 @@
     return Math.min(this.#electionMs, this.#formation.nextProbeMs)
   }
 
+  /** More instances where a leader may be found. */
+  addPeers (instances: readonly string[]): void {
+    this.#formation.addPeers(instances)
+  }
+
   getEntry (offset: number): LogEntry | undefined {
     return this.#data.log.get(offset)
   }
@@ -88,7 +93,7 @@
       if (nowMs >= this.#leading.nextHeartbeatMs) yield * this.#leading.sendHeartbeats(nowMs)
       return
     }
-    yield * this.#formation.tick(nowMs, this.#isLeaderLost(nowMs))
+    yield * this.#formation.tick(nowMs, this.#leaderContactMs)
     if (this.#isSoleVoter() || nowMs >= this.#electionMs) yield * this.#startPreVote(nowMs)
   }
 
@@ -149,10 +154,6 @@
     return this.#data.isVoter() && this.#data.listOthers('voters').length === 0
   }
 
-  #isLeaderLost (nowMs: number): boolean {
-    return nowMs - this.#leaderContactMs > timing.rejoinAfterMs
-  }
-
   #hasLiveLeader (nowMs: number): boolean {
     return this.#leading !== undefined || nowMs - this.#leaderContactMs < timing.minElectionTimeoutMs
   }
@@ -184,7 +185,7 @@
   }
 
   * #startLeading (nowMs: number): Effects {
-    this.#leading = new LeaderState(this.#data, nowMs)
+    this.#leading = new LeaderState(this.#data, nowMs, this.#options.maxVoters)
     yield * this.#setRole('leader', this.#data.id)
     yield * this.#leading.append([{}])
     yield * this.#leading.sendHeartbeats(nowMs)
--- a/src/log/_lib/LeaderState/index.ts
+++ b/src/log/_lib/LeaderState/index.ts
@@ -4,6 +4,7 @@
 import type { ReplicaEffect } from '../../ReplicaEffect'
 import { computeMembersWithLearner } from '../computeMembersWithLearner'
 import { computeMembersWithPromotion } from '../computeMembersWithPromotion'
+import { computeMembersWithReplacement } from '../computeMembersWithReplacement'
 import { computeQuorumOffset } from '../computeQuorumOffset'
 import { hasQuorum } from '../hasQuorum'
 import type { ReplicaData } from '../ReplicaData'
@@ -36,11 +37,14 @@
   readonly #data: ReplicaData
   readonly #progress = new Map<string, Progress>()
   readonly #startedMs: number
+  /** Undefined if only a replica of the same instance may replace a voter. */
+  readonly #maxVoters: number | undefined
   #reads: PendingRead[] = []
   #readSequence = 0
   #nextHeartbeatMs = 0
 
-  constructor (data: ReplicaData, nowMs: number) {
+  constructor (data: ReplicaData, nowMs: number, maxVoters?: number) {
+    this.#maxVoters = maxVoters
     this.#data = data
     this.#startedMs = nowMs
   }
@@ -74,6 +78,7 @@
   * sendHeartbeats (nowMs: number): Effects {
     this.#nextHeartbeatMs = nowMs + timing.heartbeatMs
     for (const id of this.#data.listOthers('all')) yield * this.#sendEntries(id, nowMs, true)
+    yield * this.#replaceLostMembers(nowMs)
   }
 
   * handleSynced (): Effects {
@@ -208,6 +213,20 @@
     yield * this.append([{ members }])
   }
 
+  * #replaceLostMembers (nowMs: number): Effects {
+    const { members } = this.#data.log
+    if (this.#maxVoters === undefined || !members || !this.#isMembersChangeAllowed()) return
+    const isSilent = (id: string, limitMs: number): boolean => !this.#isSelf(id) && nowMs - this.#getProgress(id).lastReplyMs > limitMs
+    const replaced = computeMembersWithReplacement(members, {
+      isLost: id => isSilent(id, timing.replaceAfterMs),
+      isCurrent: id => !isSilent(id, timing.maxElectionTimeoutMs) && this.getMatchOffset(id) >= this.#data.commitOffset,
+      maxVoters: this.#maxVoters
+    })
+    if (replaced) return yield * this.append([{ members: replaced }])
+    const learners = members.learners.filter(id => !isSilent(id, timing.removeLearnerAfterMs))
+    if (learners.length < members.learners.length) yield * this.append([{ members: { ...members, learners } }])
+  }
+
   /** Replaces the voter of an instance by its new disk, once that holds every committed entry on the disk. */
   * #updateVoter (id: string): Effects {
     const members: LogMembers | undefined = this.#data.log.members
--- a/src/log/_lib/ReplicaData/index.ts
+++ b/src/log/_lib/ReplicaData/index.ts
@@ -58,8 +58,13 @@
 
   /** Ids of all other voters and learners that count at present. */
   listOthers (kind: 'voters' | 'all'): string[] {
-    const learners = kind === 'all' ? this.log.members?.learners ?? [] : []
-    return [...new Set([...this.voterSets.flat(), ...learners])].filter(id => id !== this.id)
+    const ids = kind === 'all' ? this.listMembers() : [...new Set(this.voterSets.flat())]
+    return ids.filter(id => id !== this.id)
+  }
+
+  /** Ids of all voters and learners, this replica included. */
+  listMembers (): string[] {
+    return [...new Set([...this.voterSets.flat(), ...this.log.members?.learners ?? []])]
   }
 
   isVoter (): boolean {
--- /dev/null
+++ b/src/routing/DocumentTable/index.ts
@@ -0,0 +1,64 @@
+import { StoredDocument } from '../../contract/StoredDocument'
+import type { StateMachine } from '../../log/StateMachine'
+
+/**
+ * @name DocumentTable
+ * @category Routing
+ * @summary State machine of the log group `documents`: the route document with the highest version.
+ *
+ * @description
+ * A command is a StoredDocument. One whose version is not above the held one changes nothing, so that a document that
+ * is sent again, late, or by a second operator at the same time never replaces a newer one. `apply` returns the
+ * version that is held afterwards.
+ *
+ * @param onChange - Called after the held document changed.
+ *
+ * @example
+ * const table = new DocumentTable(() => {})
+ * table.apply({ version: 2, content: new Uint8Array() }, 1) // 2
+ * table.apply({ version: 1, content: new Uint8Array() }, 2) // 2
+ */
+export class DocumentTable implements StateMachine {
+  readonly #onChange: () => void
+  #offset = 0
+  #document: StoredDocument | undefined
+
+  constructor (onChange: () => void) {
+    this.#onChange = onChange
+  }
+
+  get offset (): number {
+    return this.#offset
+  }
+
+  /** Version of the held document, 0 if there is none. */
+  get version (): number {
+    return this.#document?.version ?? 0
+  }
+
+  get document (): StoredDocument | undefined {
+    return this.#document
+  }
+
+  apply (command: unknown, offset: number): number {
+    this.#offset = offset
+    if (command === null) return this.version
+    const document = StoredDocument.parse(command)
+    if (this.#document && document.version <= this.#document.version) return this.version
+    // A decoded command shares the memory of the received frame, which is larger than it.
+    this.#document = { version: document.version, content: Uint8Array.from(document.content) }
+    this.#onChange()
+    return this.version
+  }
+
+  getState (): unknown {
+    return { offset: this.#offset, document: this.#document ?? null }
+  }
+
+  install (state: unknown): void {
+    const { offset, document } = state as { offset: number, document: unknown }
+    this.#offset = offset
+    this.#document = document === null ? undefined : StoredDocument.parse(document)
+    this.#onChange()
+  }
+}
--- /dev/null
+++ b/src/routing/LoadTable/index.ts
@@ -0,0 +1,49 @@
+import type { LoadReport } from '../../contract/LoadReport'
+import type { LoadSummary } from '../../contract/LoadSummary'
+
+/** A router that did not report for this time counts as gone. Its requests end with it. */
+const EXPIRE_AFTER_MS = 1_500
+
+type Row = [string, ...number[]]
+
+/**
+ * @name LoadTable
+ * @category Routing
+ * @summary Newest load report of each router, and their sums for each other router.
+ *
+ * @description
+ * The state is soft: a new leader has it again after each router's next report.
+ *
+ * @example
+ * const table = new LoadTable()
+ * table.record('edge-1', { targets: [['i-1', 1, 500, 900]], accounts: [] }, 0)
+ * table.computeSummary('edge-2', 10) // { routers: 1, targets: [['i-1', 1, 500, 900]], accounts: [] }
+ */
+export class LoadTable {
+  readonly #reports = new Map<string, { report: LoadReport, atMs: number }>()
+
+  record (router: string, report: LoadReport, nowMs: number): void {
+    this.#reports.set(router, { report, atMs: nowMs })
+  }
+
+  /** Sums over all routers that reported recently, except the given one. */
+  computeSummary (router: string, nowMs: number): LoadSummary {
+    for (const [name, { atMs }] of this.#reports) if (nowMs - atMs > EXPIRE_AFTER_MS) this.#reports.delete(name)
+    const others = [...this.#reports].filter(([name]) => name !== router).map(([, { report }]) => report)
+    return {
+      routers: Math.max(1, this.#reports.size),
+      targets: computeSums(others.flatMap(({ targets }) => targets)) as LoadSummary['targets'],
+      accounts: computeSums(others.flatMap(({ accounts }) => accounts)) as LoadSummary['accounts']
+    }
+  }
+}
+
+function computeSums (rows: readonly Row[]): Row[] {
+  const sums = new Map<string, Row>()
+  for (const row of rows) {
+    const sum = sums.get(row[0])
+    if (!sum) sums.set(row[0], [...row])
+    else for (let column = 1; column < row.length; column++) sum[column] = Number(sum[column]) + Number(row[column])
+  }
+  return [...sums.values()]
+}
--- /dev/null
+++ b/src/routing/checkRouteDocument/test.ts
@@ -0,0 +1,18 @@
+import { RouteDocument } from '../../contract/RouteDocument'
+import { checkRouteDocument } from '.'
+
+const route = { name: 'r', host: 'a.example', pathPrefix: '/a/', kind: 'idempotent', timeoutMs: 1000, split: [{ service: 's', weight: 1 }] }
+const check = (changes: object) => checkRouteDocument(RouteDocument.parse({ version: 1, routes: [route], services: [{ name: 's' }], accounts: [], ...changes }))
+
+describe('checkRouteDocument', () => {
+  it.each([
+    ['a valid document', {}, 0],
+    ['an unknown service', { services: [] }, 1],
+    ['weights that add up to 0', { routes: [{ ...route, split: [{ service: 's', weight: 0 }] }] }, 1],
+    ['two routes in one place', { routes: [route, { ...route, name: 'q' }] }, 1],
+    ['a key that two accounts share', { accounts: [{ name: 'x', keys: ['k'] }, { name: 'y', keys: ['k'] }] }, 1],
+    ['a key that one account names twice', { accounts: [{ name: 'x', keys: ['k', 'k'] }] }, 0]
+  ])('judges %s', (_title, changes, problems) => {
+    expect(check(changes)).toHaveLength(problems)
+  })
+})
--- a/src/target/CircuitBreaker/index.ts
+++ b/src/target/CircuitBreaker/index.ts
@@ -31,6 +31,17 @@
     return true
   }
 
+  /** Whether requests go to the target without a probe; a probe may be due. */
+  isClosed (target: string, nowMs: number): boolean {
+    const circuit = this.#circuits.get(target)
+    return !circuit || circuit.failures < FAILURES_TO_OPEN || nowMs >= circuit.openUntilMs
+  }
+
+  /** Opens the circuit at once: the target can't be reached. */
+  open (target: string, nowMs: number): void {
+    this.#circuits.set(target, { failures: FAILURES_TO_OPEN, openUntilMs: nowMs + OPEN_MS, isProbing: false })
+  }
+
   recordSuccess (target: string): void {
     this.#circuits.delete(target)
   }
--- a/src/telemetry/createLogger/index.ts
+++ b/src/telemetry/createLogger/index.ts
@@ -4,6 +4,8 @@
 interface CreateLoggerOptions {
   instance: string
   level: 'error' | 'warn' | 'info' | 'debug'
+  /** Standard error if not given. */
+  stream?: NodeJS.WritableStream
 }
 
 /** Replaces the fields in place, because winston keeps its own state under symbols of the object. */
@@ -14,7 +16,7 @@
 /**
  * @name createLogger
  * @category Telemetry
- * @summary A logger that writes JSON lines to standard error.
+ * @summary A logger that writes JSON lines.
  *
  * @description
  * Each line has `timestamp`, `level`, `instance`, `message`. Modules derive a child logger with their fixed prefix by
@@ -31,6 +33,6 @@
     level: options.level,
     defaultMeta: { instance: options.instance },
     format: winston.format.combine(winston.format(filterFields)(), winston.format.timestamp(), winston.format.json()),
-    transports: [new winston.transports.Stream({ stream: process.stderr })]
+    transports: [new winston.transports.Stream({ stream: options.stream ?? process.stderr })]
   })
 }
