Place prompts by one scheduler at the registry leader, only where they are in time

The scheduler knows what each engine still has to read and probably keeps, places a prompt only if its first event is predicted within the objective, lets waiting requests go in the order of least recent use by client accounts, and refuses what waited 200 ms. Routers decide by themselves while it can't be reached.

--- a/src/contract/CallFacts/index.ts
+++ b/src/contract/CallFacts/index.ts
@@ -8,7 +8,7 @@
  *
  * @description
  * `id`: of this attempt of the caller. `deadlineMs`: how long the caller waits. `outputTokens`: the most that the model
- * may generate. `lastEventId`: the caller goes on with a stream that broke off.
+ * may generate. `outputHint`: the caller's estimate of them. `lastEventId`: the caller goes on with a stream that broke off.
  *
  * @example
  * CallFacts.parse({ id: '9c41', parts: [], promptTokens: 0, outputTokens: 0 })
@@ -20,6 +20,7 @@
   parts: z.array(PromptPart),
   promptTokens: z.number().nonnegative(),
   outputTokens: z.number().nonnegative(),
+  outputHint: z.number().nonnegative().optional(),
   lastEventId: z.string().optional()
 })
 export type CallFacts = z.infer<typeof CallFacts>
--- a/src/contract/LoadReport/index.ts
+++ b/src/contract/LoadReport/index.ts
@@ -3,17 +3,15 @@
 /**
  * @name LoadReport
  * @category Contract
- * @summary What one router has under way, and what its client accounts ask for.
+ * @summary What one router has under way.
  *
  * @description
- * `targets`: [target id, running requests, prompt tokens sent and not yet read, tokens of running requests].
- * `accounts`: [client account, tokens asked for, tokens sent], per second over the last seconds.
+ * `targets`: [target id, running requests, tokens of their prompts].
  *
  * @example
- * LoadReport.parse({ targets: [['i-1', 3, 1200, 9000]], accounts: [['a', 900, 700]] })
+ * LoadReport.parse({ targets: [['i-1', 3, 9000]] })
  */
 export const LoadReport = z.object({
-  targets: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
-  accounts: z.array(z.tuple([z.string(), z.number(), z.number()]))
+  targets: z.array(z.tuple([z.string(), z.number(), z.number()]))
 })
 export type LoadReport = z.infer<typeof LoadReport>
--- a/src/contract/LoadSummary/index.ts
+++ b/src/contract/LoadSummary/index.ts
@@ -10,7 +10,7 @@
  * `routers`: routers that reported recently, the receiver included.
  *
  * @example
- * LoadSummary.parse({ routers: 9, targets: [], accounts: [] })
+ * LoadSummary.parse({ routers: 9, targets: [] })
  */
 export const LoadSummary = LoadReport.extend({ routers: z.number().int().positive() })
 export type LoadSummary = z.infer<typeof LoadSummary>
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -11,9 +11,11 @@
 import type { RouteTable } from '../../routing/RouteTable'
 import { AnswerWriter } from '../AnswerWriter'
 import { CallAttempt } from '../CallAttempt'
+import { placeCall } from '../placeCall'
 import type { GatewayContext } from '../GatewayContext'
 import { refuseCall } from '../refuseCall'
 
+type Place = Extract<Awaited<ReturnType<typeof placeCall>>, { type: 'place' }>
 type Plan = ReturnType<typeof planAttempts>
 type Order = Extract<ReturnType<Plan['next']>, { done?: false }>['value']
 type Conclusion = Extract<ReturnType<Plan['next']>, { done: true }>['value']
@@ -31,7 +33,10 @@
 /** The share of a target's connections that the routers use together; the rest is left for connections that are being closed. */
 const CONNECTION_SHARE = 0.8
 const MIN_CONNECTIONS = 4
+const DEFAULT_MAX_CONNECTIONS = 100
 const RETRY_AFTER_S = 0.5
+const DEFAULT_OBJECTIVE_MS = 600
+const RESUME_OBJECTIVE_MS = 5_000
 
 /**
  * @name GatewayCall
@@ -102,33 +107,41 @@
   }
 
   async #runAttempt (call: AdmittedCall, order: Order): Promise<AttemptResult> {
-    const { placer, loads, connections } = this.#context
-    if (this.#isLeft) return { type: 'left' }
-    if (this.#isExpired) return { type: 'expired', isSent: false, isStarted: this.#response.headersSent }
+    const place = await placeCall(this.#createPlaceRequest(call, order), this.#context)
+    if (place.type !== 'place') return place
+    if (this.#isLeft || this.#isExpired) {
+      place.record('ended')
+      return this.#isLeft ? { type: 'left' } : { type: 'expired', isSent: false, isStarted: this.#response.headersSent }
+    }
+    const result = await this.#send(call, order, place)
+    place.record(convertResult(result))
+    return result
+  }
+
+  #createPlaceRequest ({ facts, service, route, account, table }: AdmittedCall, { excluded, lastEventId }: Order): Parameters<typeof placeCall>[0] {
+    const elapsedMs = performance.now() - this.#arrivedAtMs
+    // A stream that goes on at another target is late already; it should still end.
+    const objectiveMs = lastEventId === undefined ? (route.objectiveMs ?? DEFAULT_OBJECTIVE_MS) - elapsedMs : RESUME_OBJECTIVE_MS
+    return { facts, account: account ?? '', service, isEngine: table.findService(service)?.engine !== undefined, objectiveMs: Math.max(1, objectiveMs), excluded }
+  }
+
+  #send (call: AdmittedCall, { lastEventId }: Order, { target, record }: Place): Promise<AttemptResult> {
+    const { loads, connections, codec } = this.#context
     const { facts, service, route, table } = call
-    const startedAtMs = performance.now()
-    const { engine, maxConnections = 100 } = table.findService(service) ?? {}
-    const place = placer.place({ service, isEngine: engine !== undefined, parts: facts.parts, promptTokens: facts.promptTokens, excluded: order.excluded }, startedAtMs)
-    if (!place) return { type: 'no-target' }
-    const { target, readMs } = place
     this.#targets.push(target.id)
-    const load = loads.add(target.id, { readMs, tokens: facts.promptTokens })
-    if (engine) placer.holders.record(target.id, facts.parts, startedAtMs)
     const attempt = new CallAttempt({
-      codec: this.#context.codec,
+      codec,
       callId: facts.id,
       target: target.id,
       isStream: route.kind === 'stream',
       writer: new AnswerWriter(this.#response),
-      onProgress: load.read
+      onProgress: () => record('read')
     })
     this.#attempt = attempt
+    const maxConnections = table.findService(service)?.maxConnections ?? DEFAULT_MAX_CONNECTIONS
     const limit = Math.max(MIN_CONNECTIONS, Math.floor(maxConnections * CONNECTION_SHARE / loads.routers))
-    connections.dispatch(target, { limit, request: this.#createRequest(call, { targetId: target.id, lastEventId: order.lastEventId }), handler: attempt.exchange })
-    const result = await attempt.result
-    load.release()
-    this.#recordHealth(result)
-    return result
+    connections.dispatch(target, { limit, request: this.#createRequest(call, { targetId: target.id, lastEventId }), handler: attempt.exchange })
+    return attempt.result
   }
 
   #createRequest (call: AdmittedCall, { targetId, lastEventId }: { targetId: string, lastEventId: string | undefined }): Dispatcher.DispatchOptions {
@@ -142,14 +155,6 @@
     }
   }
 
-  #recordHealth (result: AttemptResult): void {
-    const { circuits } = this.#context.placer
-    const nowMs = performance.now()
-    if (result.type === 'answered') circuits.recordSuccess(this.#targets.at(-1)!)
-    if (result.type === 'unsent') circuits.open(result.target, nowMs)
-    if (result.type === 'lost') circuits.recordFailure(result.target, nowMs)
-  }
-
   #handleClose (route: Route): void {
     if (this.#response.writableFinished) return
     this.#isLeft = true
@@ -187,3 +192,8 @@
     this.#context.logger[level]('A request ended.', { requestId: facts.id, path: this.#request.url, status: this.#response.statusCode, targets: this.#targets, durationMs, ...result })
   }
 }
+
+function convertResult (result: AttemptResult): Parameters<Place['record']>[0] {
+  if (result.type === 'unsent') return 'unreachable'
+  return result.type === 'lost' ? 'lost' : 'ended'
+}
--- a/src/gateway/GatewayContext/index.ts
+++ b/src/gateway/GatewayContext/index.ts
@@ -1,9 +1,11 @@
 import type { CallCodec } from '../../contract/CallCodec'
+import type { TargetEntry } from '../../contract/TargetEntry'
 import type { FleetRetryBudget } from '../../routing/FleetRetryBudget'
 import type { RouteTable } from '../../routing/RouteTable'
 import type { TargetLoads } from '../../routing/TargetLoads'
 import type { Metrics } from '../../telemetry/Metrics'
 import type { PartLogger } from '../../telemetry/PartLogger'
+import type { PlacementClient } from '../PlacementClient'
 import type { Placer } from '../Placer'
 import type { TargetConnections } from '../TargetConnections'
 
@@ -21,6 +23,12 @@
 export interface GatewayContext {
   codec: CallCodec
   getTable: () => RouteTable | undefined
+  zone: string
+  /** The targets that are not draining, by id. */
+  findTarget: (id: string) => TargetEntry | undefined
+  /** Places prompts at engines. */
+  placements: PlacementClient
+  /** Places calls to other services. */
   placer: Placer
   loads: TargetLoads
   connections: TargetConnections
--- a/src/instance/_lib/ControlLogs/index.ts
+++ b/src/instance/_lib/ControlLogs/index.ts
@@ -36,6 +36,7 @@
   /** Called once when a disk fails or a log is corrupted; the process must end. */
   onFatal: (error: AppError) => void
   fileSystem?: FileSystem
+  onRoleChanged?: (role: string) => void
 }
 
 /** The replicas of all log groups in a control process. */
@@ -96,7 +97,10 @@
         mayForm: settings.mayForm,
         maxVoters: settings.maxVoters,
         onFatal,
-        onRoleChanged: change => logger.info('The role changed.', { group, ...change })
+        onRoleChanged: change => {
+          logger.info('The role changed.', { group, ...change })
+          this.#options.onRoleChanged?.(change.role)
+        }
       })
       this.#tasks.set(group, task)
       task.start()
--- a/src/instance/_lib/FleetFollower/index.ts
+++ b/src/instance/_lib/FleetFollower/index.ts
@@ -5,6 +5,7 @@
 import type { TargetEntry } from '../../../contract/TargetEntry'
 import type { WatchFleetRequest } from '../../../contract/WatchFleetRequest'
 import { LinkClient } from '../../../link/LinkClient'
+import type { Link } from '../../../link/Link'
 import type { LinkOptions } from '../../../link/LinkOptions'
 import type { PartLogger } from '../../../telemetry/PartLogger'
 
@@ -56,6 +57,11 @@
     return this.#targetsReadAtMs
   }
 
+  /** Link to the replica that leads, undefined while none is known. */
+  get leaderLink (): Link | undefined {
+    return this.#leader === undefined ? undefined : this.#clients.get(this.#leader)?.link
+  }
+
   start (): void {
     this.addReplicas(this.#options.seeds)
     this.#timer = setInterval(() => { void this.#reportLoad() }, REPORT_INTERVAL_MS)
--- /dev/null
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -0,0 +1,86 @@
+import { z } from 'zod'
+import { AppError } from '../../../contract/AppError'
+import { PlacementProgress } from '../../../contract/PlacementProgress'
+import { PlacementRequest } from '../../../contract/PlacementRequest'
+import { RunningPlacement } from '../../../contract/RunningPlacement'
+import type { TargetEntry } from '../../../contract/TargetEntry'
+import type { Link } from '../../../link/Link'
+import type { MessageHandler } from '../../../link/MessageHandler'
+import { PlacementQueue } from '../../../routing/PlacementQueue'
+import { PromptScheduler } from '../../../routing/PromptScheduler'
+
+interface PlacementServiceOptions {
+  isLeader: () => boolean
+  getMemoryTokens: (service: string) => number | undefined
+}
+
+const Adopted = z.array(RunningPlacement)
+
+/**
+ * The scheduler of the fleet, at the leader of the registry. Its state is soft: routers tell a new leader what they
+ * have under way, and a router whose link closes has nothing under way any more.
+ */
+export class PlacementService {
+  readonly #options: PlacementServiceOptions
+  readonly #prefixes = new Map<Link, string>()
+  #scheduler!: PromptScheduler
+  #queue!: PlacementQueue
+  #targets: readonly TargetEntry[] = []
+  #nextPrefix = 1
+
+  constructor (options: PlacementServiceOptions) {
+    this.#options = options
+    this.reset()
+  }
+
+  get handlers (): Map<string, MessageHandler> {
+    return new Map<string, MessageHandler>([
+      ['requestPlacement', (body, link) => this.#queue.request(this.#createGlobal(PlacementRequest.parse(body), link))],
+      ['reportProgress', (body, link) => {
+        const prefix = this.#getPrefix(link)
+        for (const [id, event] of PlacementProgress.parse(body)) this.#queue.record(prefix + id, event)
+      }],
+      ['adoptPlacements', (body, link) => {
+        for (const placement of Adopted.parse(body)) {
+          this.#scheduler.accept({ ...placement, request: this.#createGlobal(placement.request, link) }, performance.now())
+        }
+      }]
+    ])
+  }
+
+  setTargets (entries: readonly TargetEntry[]): void {
+    this.#targets = entries
+    this.#scheduler.setTargets(entries)
+  }
+
+  /** Forgets everything, when another replica leads. */
+  reset (): void {
+    this.#queue?.close()
+    const { getMemoryTokens } = this.#options
+    this.#scheduler = new PromptScheduler({ getMemoryTokens, getShare: () => 1, random: Math.random })
+    this.#scheduler.setTargets(this.#targets)
+    this.#queue = new PlacementQueue(this.#scheduler)
+  }
+
+  close (): void {
+    this.#queue.close()
+  }
+
+  #createGlobal (request: PlacementRequest, link: Link): PlacementRequest {
+    if (!this.#options.isLeader()) throw new AppError('not-leader', 'This replica does not place calls.')
+    return { ...request, id: this.#getPrefix(link) + request.id }
+  }
+
+  /** Makes the ids of the calls of different routers unique. */
+  #getPrefix (link: Link): string {
+    const known = this.#prefixes.get(link)
+    if (known !== undefined) return known
+    const prefix = `${this.#nextPrefix++}:`
+    this.#prefixes.set(link, prefix)
+    link.onClose(() => {
+      this.#prefixes.delete(link)
+      for (const { request } of this.#scheduler.listRunning()) if (request.id.startsWith(prefix)) this.#queue.record(request.id, 'ended')
+    })
+    return prefix
+  }
+}
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -6,6 +6,7 @@
 import type { StoredDocument } from '../../contract/StoredDocument'
 import type { TargetEntry } from '../../contract/TargetEntry'
 import { GatewayCall } from '../../gateway/GatewayCall'
+import { PlacementClient } from '../../gateway/PlacementClient'
 import { Placer } from '../../gateway/Placer'
 import { TargetConnections } from '../../gateway/TargetConnections'
 import type { LifecycleManager } from '../../lifecycle/LifecycleManager'
@@ -66,8 +67,16 @@
   let targets: readonly TargetEntry[] = []
   let isListKnown = false
   const loads = new TargetLoads()
+  const findTarget = (id: string): TargetEntry | undefined => targets.find(entry => entry.id === id && !entry.isDraining)
   const listTargets = (service: string): TargetEntry[] => targets.filter(entry => entry.service === service && !entry.isDraining)
-  const placer = new Placer({ zone: settings.zone, loads, listTargets })
+  const placer = new Placer({ zone: settings.zone, loads, listTargets, random: Math.random })
+  const placements = new PlacementClient({
+    getLink: () => follower.leaderLink,
+    getMemoryTokens: service => table?.findService(service)?.engine?.memoryTokens,
+    countRouters: () => loads.routers,
+    logger
+  })
+  lifecycle.register('placements', () => placements.close())
   const connections = new TargetConnections()
   lifecycle.register('target connections', () => connections.close())
   const handleTargets = (entries: readonly TargetEntry[]): void => {
@@ -76,10 +85,11 @@
     isListKnown = true
     if (!isChanged) return
     connections.closeOthers(entries)
+    placements.setTargets(entries)
     logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
   }
   const stop = new GracefulStop({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - STOP_MARGIN_MS, countDetached: () => 0 })
-  const context = { codec: options.calls, getTable: () => table, placer, loads, connections, budget: new FleetRetryBudget(settings.retries), logger, metrics }
+  const context = { codec: options.calls, getTable: () => table, zone: settings.zone, findTarget, placements, placer, loads, connections, budget: new FleetRetryBudget(settings.retries), logger, metrics }
   const front = await startHttpServer(settings.front, [
     { method: 'all', path: '*', handler: (request, response) => new GatewayCall(request, response, context).run() }
   ])
@@ -99,7 +109,7 @@
     logger,
     onDocument: handleDocument,
     onTargets: handleTargets,
-    createReport: () => ({ targets: loads.createReport(), accounts: [] }),
+    createReport: () => ({ targets: loads.createReport() }),
     onSummary: summary => loads.setOthers(summary, performance.now())
   })
   follower.start()
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -5,6 +5,7 @@
 import type { FleetView } from '../../contract/FleetView'
 import type { LinkIdentity } from '../../contract/LinkIdentity'
 import { LoadReport } from '../../contract/LoadReport'
+import type { RouteDocument } from '../../contract/RouteDocument'
 import type { RegistrySettings } from '../../contract/RegistrySettings'
 import { WatchFleetRequest } from '../../contract/WatchFleetRequest'
 import type { LifecycleManager } from '../../lifecycle/LifecycleManager'
@@ -17,6 +18,7 @@
 import type { PartLogger } from '../../telemetry/PartLogger'
 import { ControlLogs } from '../_lib/ControlLogs'
 import { FleetWatchers } from '../_lib/FleetWatchers'
+import { PlacementService } from '../_lib/PlacementService'
 
 /** How often the leader reads the list of targets; the list itself lags by most of a second. */
 const LIST_INTERVAL_MS = 500
@@ -59,17 +61,22 @@
  * await registry.replaceDocument(content)
  */
 export async function startRegistry (settings: RegistrySettings, { codec, source, logger, lifecycle }: StartRegistryOptions): Promise<RunningRegistry> {
+  let document: RouteDocument | undefined
   const table: DocumentTable = new DocumentTable(() => {
+    document = table.document && codec.decode(table.document.content)
     logger.info('A route document is in force.', { version: table.version, offset: table.offset })
     watchers.notify()
   })
-  const logs = await openLogs(settings, table, logger)
+  const logs = await openLogs(settings, table, { logger, onRoleChanged: role => { if (role !== 'leader') placement.reset() } })
+  const placement = new PlacementService({ isLeader: () => isLeader(), getMemoryTokens: name => document?.services.find(service => service.name === name)?.engine?.memoryTokens })
+  lifecycle.register('placement', () => placement.close())
   const isLeader = (): boolean => getStatus(logs).role === 'leader'
   const reader = new TargetListReader({
     source,
     intervalMs: LIST_INTERVAL_MS,
     isNeeded: isLeader,
     onChange: entries => {
+      placement.setTargets(entries)
       logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
       watchers.notify()
     },
@@ -79,6 +86,7 @@
   const loads = new LoadTable()
   const handlers = new Map<string, MessageHandler>([
     ...logs.handlers,
+    ...placement.handlers,
     ['watchFleet', body => watchers.watch(WatchFleetRequest.parse(body))],
     ['fetchDocument', () => table.document ?? null],
     ['reportLoad', (body, link) => {
@@ -110,7 +118,7 @@
   }
 }
 
-function openLogs (settings: RegistrySettings, table: DocumentTable, logger: PartLogger): Promise<ControlLogs> {
+function openLogs (settings: RegistrySettings, table: DocumentTable, { logger, onRoleChanged }: { logger: PartLogger, onRoleChanged: (role: string) => void }): Promise<ControlLogs> {
   const { host, zone, linkPort, dataDir, snapshotEvery, toleratedLosses } = settings
   const seeds = settings.seeds.map(seed => seed.host)
   return ControlLogs.open({
@@ -126,6 +134,7 @@
     findAddress: instance => ({ host: instance, port: linkPort }),
     machines: { documents: table },
     logger,
+    onRoleChanged,
     onFatal: error => {
       logger.error('The process ends.', { kind: error.kind, reason: error.message })
       process.exit(errorTable[error.kind].exitCode)
--- /dev/null
+++ b/src/routing/AccountUsage/index.ts
@@ -0,0 +1,28 @@
+/** Use of the engines older than about this no longer counts against a client account. */
+const MEMORY_MS = 4_000
+
+/**
+ * @name AccountUsage
+ * @category Routing
+ * @summary Recent use of the engines by each client account.
+ *
+ * @description
+ * An exponentially weighted sum of costs. Waiting requests of the account with the least recent use go first, so that
+ * an account that sends many times its usual can't displace the others. Times are milliseconds of a monotonic clock.
+ *
+ * @example
+ * usage.charge('a', 120, nowMs)
+ * usage.get('a', nowMs + 4_000) // about 44
+ */
+export class AccountUsage {
+  readonly #sums = new Map<string, { cost: number, atMs: number }>()
+
+  get (account: string, nowMs: number): number {
+    const sum = this.#sums.get(account)
+    return sum ? sum.cost * Math.exp(-(nowMs - sum.atMs) / MEMORY_MS) : 0
+  }
+
+  charge (account: string, cost: number, nowMs: number): void {
+    this.#sums.set(account, { cost: this.get(account, nowMs) + cost, atMs: nowMs })
+  }
+}
--- a/src/routing/LoadTable/index.ts
+++ b/src/routing/LoadTable/index.ts
@@ -4,7 +4,7 @@
 /** A router that did not report for this time counts as gone. Its requests end with it. */
 const EXPIRE_AFTER_MS = 1_500
 
-type Row = [string, ...number[]]
+type Row = LoadReport['targets'][number]
 
 /**
  * @name LoadTable
@@ -16,8 +16,8 @@
  *
  * @example
  * const table = new LoadTable()
- * table.record('edge-1', { targets: [['i-1', 1, 500, 900]], accounts: [] }, 0)
- * table.computeSummary('edge-2', 10) // { routers: 1, targets: [['i-1', 1, 500, 900]], accounts: [] }
+ * table.record('edge-1', { targets: [['i-1', 1, 900]] }, 0)
+ * table.computeSummary('edge-2', 10) // { routers: 1, targets: [['i-1', 1, 900]] }
  */
 export class LoadTable {
   readonly #reports = new Map<string, { report: LoadReport, atMs: number }>()
@@ -32,8 +32,7 @@
     const others = [...this.#reports].filter(([name]) => name !== router).map(([, { report }]) => report)
     return {
       routers: Math.max(1, this.#reports.size),
-      targets: computeSums(others.flatMap(({ targets }) => targets)) as LoadSummary['targets'],
-      accounts: computeSums(others.flatMap(({ accounts }) => accounts)) as LoadSummary['accounts']
+      targets: computeSums(others.flatMap(({ targets }) => targets))
     }
   }
 }
@@ -41,9 +40,9 @@
 function computeSums (rows: readonly Row[]): Row[] {
   const sums = new Map<string, Row>()
   for (const row of rows) {
-    const sum = sums.get(row[0])
-    if (!sum) sums.set(row[0], [...row])
-    else for (let column = 1; column < row.length; column++) sum[column] = Number(sum[column]) + Number(row[column])
+    const [target, running, tokens] = row
+    const sum = sums.get(target)
+    sums.set(target, sum ? [target, sum[1] + running, sum[2] + tokens] : row)
   }
   return [...sums.values()]
 }
--- /dev/null
+++ b/src/routing/PlacementQueue/index.ts
@@ -0,0 +1,61 @@
+import { AppError } from '../../contract/AppError'
+import type { PlacementProgress } from '../../contract/PlacementProgress'
+import type { PlacementRequest } from '../../contract/PlacementRequest'
+import type { PlacementVerdict } from '../../contract/PlacementVerdict'
+import type { PromptScheduler } from '../PromptScheduler'
+
+/** How often waiting requests are looked at, besides when a call makes room. */
+const STEP_INTERVAL_MS = 15
+
+/**
+ * @name PlacementQueue
+ * @category Routing
+ * @summary Runs a PromptScheduler: hands each verdict to the one who waits for it.
+ *
+ * @param scheduler - The decisions.
+ * @throws AppError `shutting-down` for requests that wait when the queue is closed.
+ *
+ * @example
+ * const queue = new PlacementQueue(scheduler)
+ * const verdict = await queue.request(request)
+ * queue.record(request.id, 'ended')
+ */
+export class PlacementQueue {
+  readonly #scheduler: PromptScheduler
+  readonly #pending = new Map<string, { resolve: (verdict: PlacementVerdict) => void, reject: (error: AppError) => void }>()
+  #timer: NodeJS.Timeout | undefined
+
+  constructor (scheduler: PromptScheduler) {
+    this.#scheduler = scheduler
+  }
+
+  request (request: PlacementRequest): Promise<PlacementVerdict> {
+    const verdict = this.#scheduler.request(request, performance.now())
+    if (verdict) return Promise.resolve(verdict)
+    this.#timer ??= setInterval(() => this.#step(), STEP_INTERVAL_MS)
+    return new Promise((resolve, reject) => this.#pending.set(request.id, { resolve, reject }))
+  }
+
+  record (id: string, event: PlacementProgress[number][1]): void {
+    this.#scheduler.record(id, event, performance.now())
+    this.#complete(id, { type: 'none' })
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+    for (const { reject } of this.#pending.values()) reject(new AppError('shutting-down', 'The scheduler stops.'))
+    this.#pending.clear()
+  }
+
+  #step (): void {
+    for (const [id, verdict] of this.#scheduler.step(performance.now())) this.#complete(id, verdict)
+    if (this.#pending.size > 0) return
+    clearInterval(this.#timer)
+    this.#timer = undefined
+  }
+
+  #complete (id: string, verdict: PlacementVerdict): void {
+    this.#pending.get(id)?.resolve(verdict)
+    this.#pending.delete(id)
+  }
+}
--- /dev/null
+++ b/src/routing/PromptScheduler/test.ts
@@ -0,0 +1,114 @@
+import type { PlacementRequest } from '../../contract/PlacementRequest'
+import type { PlacementVerdict } from '../../contract/PlacementVerdict'
+import { PromptScheduler } from '.'
+
+const createTarget = (id: string, changes: object = {}) => ({ id, service: 's', host: '10.0.0.1', port: 1, zone: 'z', slots: 48, isDraining: false, warmupMs: 0, ...changes })
+
+function createScheduler (targets = ['t1', 't2', 't3', 't4'].map(id => createTarget(id))) {
+  const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => 1, random: () => 0.5 })
+  scheduler.setTargets(targets)
+  return scheduler
+}
+
+let nextId = 0
+const createRequest = (changes: Partial<PlacementRequest> & { shared?: string, sharedTokens?: number, ownTokens?: number } = {}): PlacementRequest => {
+  const { shared = 'doc', sharedTokens = 13_000, ownTokens = 3_000, ...rest } = changes
+  const id = String(nextId++)
+  return { id, account: 'a', service: 's', zone: 'z', parts: [{ id: shared, tokens: sharedTokens }, { id: `own${id}`, tokens: ownTokens }], promptTokens: sharedTokens + ownTokens, outputTokens: 100, objectiveMs: 600, excluded: [], ...rest }
+}
+const getTarget = (verdict: PlacementVerdict | undefined) => verdict?.type === 'place' ? verdict.target : verdict?.type
+
+describe('PromptScheduler', () => {
+  // Load pattern: many prompts with few long shared parts. Spread evenly, each engine reads all of them.
+  it('reads each shared part at one engine while there is room', () => {
+    const scheduler = createScheduler()
+    for (const shared of ['d1', 'd2', 'd3', 'd4', 'd5', 'd6']) {
+      const used = new Set<string | undefined>()
+      for (let i = 0; i < 5; i++) {
+        const request = createRequest({ shared })
+        used.add(getTarget(scheduler.request(request, 0)))
+        scheduler.record(request.id, 'read', 10)
+      }
+      expect(used.size).toBe(1)
+    }
+  })
+
+  // Load pattern: one prompt becomes hot. One engine alone would make all of its requests late.
+  it('uses a second engine for a hot prompt, and refuses what can not begin in time', () => {
+    const scheduler = createScheduler()
+    const first = Array.from({ length: 40 }, () => createRequest())
+    const targets = first.map(request => getTarget(scheduler.request(request, 0)))
+    expect(new Set(targets.filter(target => target !== undefined)).size).toBe(2)
+    expect(targets.filter(target => target === undefined).length).toBeGreaterThan(10)
+    expect([...scheduler.step(100)]).toEqual([])
+    const verdicts = [...scheduler.step(250)].map(([, verdict]) => verdict)
+    expect(verdicts.every(verdict => verdict.type === 'refuse' && verdict.retryAfterS > 1)).toBe(true)
+    expect(scheduler.waitingCount).toBe(0)
+  })
+
+  // Load pattern: overload. Without a bound on what engines have to read, every request is late.
+  it('places only what is predicted to begin in time', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    let readMs = 0
+    for (let i = 0; i < 100; i++) {
+      const verdict = scheduler.request(createRequest({ shared: `d${i}`, sharedTokens: 4_000 }), 0)
+      if (verdict?.type === 'place') readMs += verdict.readMs
+    }
+    expect(readMs).toBeGreaterThan(300)
+    expect(readMs).toBeLessThan(600)
+  })
+
+  // Guards against the largest prompts never being served: none of them fits beside others.
+  it('places a prompt of any size at an engine that has nothing to read', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    expect(getTarget(scheduler.request(createRequest({ ownTokens: 60_000 }), 0))).toBe('t1')
+    expect(scheduler.request(createRequest({ ownTokens: 60_000 }), 0)).toBeUndefined()
+  })
+
+  // Load pattern: one account sends many times its usual. Its requests must not displace those of the others.
+  it('lets the account with the least recent use go first', () => {
+    const scheduler = createScheduler([createTarget('t1', { slots: 1 })])
+    const running = createRequest({ account: 'hot' })
+    scheduler.request(running, 0)
+    const hot = createRequest({ account: 'hot' })
+    const small = createRequest({ account: 'small' })
+    scheduler.request(hot, 1)
+    scheduler.request(small, 2)
+    scheduler.record(running.id, 'read', 50)
+    scheduler.record(running.id, 'ended', 60)
+    expect([...scheduler.step(61)].map(([id]) => id)).toEqual([small.id])
+  })
+
+  it('leaves out targets that drain, are excluded or can not be reached', () => {
+    const scheduler = createScheduler([createTarget('t1'), createTarget('t2', { isDraining: true })])
+    expect(getTarget(scheduler.request(createRequest({ excluded: ['t1'] }), 0))).toBe('none')
+    const both = createScheduler([createTarget('t1'), createTarget('t2')])
+    const request = createRequest()
+    const target = getTarget(both.request(request, 0))
+    both.record(request.id, 'unreachable', 1)
+    expect(getTarget(both.request(createRequest(), 2))).not.toBe(target)
+    // From another zone the target may be reachable.
+    expect(getTarget(both.request(createRequest({ zone: 'y' }), 3))).toBe(target)
+  })
+
+  // Guards against load that stays counted for ever after a caller left or a router restarted.
+  it('knows the same load after calls were adopted, withdrawn and ended', () => {
+    const scheduler = createScheduler()
+    const request = createRequest()
+    scheduler.accept({ request, target: 't1', readMs: 50, isRead: false }, 0)
+    scheduler.accept({ request, target: 't1', readMs: 50, isRead: false }, 0)
+    expect(scheduler.listRunning()).toEqual([{ request, target: 't1', readMs: 50, isRead: false }])
+    scheduler.record(request.id, 'ended', 5)
+    scheduler.record(request.id, 'ended', 6)
+    expect(scheduler.runningCount).toBe(0)
+  })
+
+  it('counts its own load as the share of the whole that it is', () => {
+    const place = (share: number) => {
+      const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => share, random: () => 0 })
+      scheduler.setTargets([createTarget('t1')])
+      return Array.from({ length: 40 }, (_, i) => scheduler.request(createRequest({ shared: `d${i}`, sharedTokens: 1_000, ownTokens: 1_000 }), 0)).filter(verdict => verdict?.type === 'place').length
+    }
+    expect(place(1)).toBeGreaterThan(3 * place(1 / 9))
+  })
+})
--- a/src/routing/TargetLoads/index.ts
+++ b/src/routing/TargetLoads/index.ts
@@ -2,17 +2,10 @@
 
 interface Load {
   running: number
-  /** Estimated time to read the prompts that were sent and whose first event has not come. */
-  pendingMs: number
   tokens: number
 }
 
-interface CallLoad {
-  readMs: number
-  tokens: number
-}
-
-const NO_LOAD: Readonly<Load> = { running: 0, pendingMs: 0, tokens: 0 }
+const NO_LOAD: Readonly<Load> = { running: 0, tokens: 0 }
 /** What the other routers reported counts for this long. */
 const OTHERS_VALID_MS = 2_000
 
@@ -23,9 +16,9 @@
  *
  * @example
  * const loads = new TargetLoads()
- * const load = loads.add('i-1', { readMs: 80, tokens: 4_000 })
+ * const release = loads.add('i-1', { tokens: 4_000 })
  * loads.get('i-1', nowMs).running // 1
- * load.release()
+ * release()
  */
 export class TargetLoads {
   readonly #own = new Map<string, Load>()
@@ -38,42 +31,35 @@
     return this.#routers
   }
 
-  add (target: string, { readMs, tokens }: CallLoad): { read: () => void, release: () => void } {
+  /** Returns a function that takes the request out again. */
+  add (target: string, { tokens }: { tokens: number }): () => void {
     const load = this.#own.get(target) ?? { ...NO_LOAD }
     this.#own.set(target, load)
     load.running++
-    load.pendingMs += readMs
     load.tokens += tokens
-    let isRead = false
     let isEnded = false
-    const read = (): void => {
-      if (!isRead) load.pendingMs -= readMs
-      isRead = true
-    }
-    const release = (): void => {
+    return () => {
       if (isEnded) return
       isEnded = true
-      read()
       load.running--
       load.tokens -= tokens
       if (load.running === 0) this.#own.delete(target)
     }
-    return { read, release }
   }
 
   get (target: string, nowMs: number): Load {
     const own = this.#own.get(target) ?? NO_LOAD
     const others = nowMs - this.#othersAtMs < OTHERS_VALID_MS ? this.#others.get(target) ?? NO_LOAD : NO_LOAD
-    return { running: own.running + others.running, pendingMs: own.pendingMs + others.pendingMs, tokens: own.tokens + others.tokens }
+    return { running: own.running + others.running, tokens: own.tokens + others.tokens }
   }
 
   setOthers ({ routers, targets }: { routers: number, targets: LoadReport['targets'] }, nowMs: number): void {
     this.#routers = routers
     this.#othersAtMs = nowMs
-    this.#others = new Map(targets.map(([target, running, pendingMs, tokens]) => [target, { running, pendingMs, tokens }]))
+    this.#others = new Map(targets.map(([target, running, tokens]) => [target, { running, tokens }]))
   }
 
   createReport (): LoadReport['targets'] {
-    return [...this.#own].map(([target, { running, pendingMs, tokens }]) => [target, running, Math.round(pendingMs), tokens])
+    return [...this.#own].map(([target, { running, tokens }]) => [target, running, tokens])
   }
 }
--- a/src/routing/planAttempts/index.ts
+++ b/src/routing/planAttempts/index.ts
@@ -21,7 +21,7 @@
   /** The answer of a target that reports a failure is passed on. */
   | { type: 'deliver' }
   /** The request has not run and never will. */
-  | { type: 'refuse', reason: 'no-target' | 'not-run' | 'expired', retryAfterS?: number }
+  | { type: 'refuse', reason: 'no-target' | 'no-room' | 'not-run' | 'expired', retryAfterS?: number }
   /** The request may have run, and its answer is lost. */
   | { type: 'fail', reason: 'lost' | 'expired' }
   /** The caller has the beginning of an answer that can't be completed. */
@@ -62,6 +62,7 @@
       case 'answered':
       case 'left': return { type: 'done' }
       case 'no-target': return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-target' })
+      case 'refused': return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-room', retryAfterS: result.retryAfterS })
       case 'expired': return concludeExpired(result, mayHaveRun)
       case 'unsent':
         if (++unsent >= MAX_UNSENT_TRIES) return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-target' })
--- a/src/routing/planAttempts/test.ts
+++ b/src/routing/planAttempts/test.ts
@@ -51,6 +51,11 @@
     expect(conclude([broken, { type: 'no-target' }], { isRepeatable: true })?.value).toEqual({ type: 'break' })
   })
 
+  it('passes on when there may be room', () => {
+    expect(conclude([{ type: 'refused', retryAfterS: 2 }])?.value).toEqual({ type: 'refuse', reason: 'no-room', retryAfterS: 2 })
+    expect(conclude([lost, { type: 'refused', retryAfterS: 2 }], { isRepeatable: true })?.value).toEqual({ type: 'fail', reason: 'lost' })
+  })
+
   it('tells by the time-out whether the request was sent', () => {
     expect(conclude([{ type: 'expired', isSent: false, isStarted: false }])?.value).toEqual({ type: 'refuse', reason: 'expired' })
     expect(conclude([{ type: 'expired', isSent: true, isStarted: false }])?.value).toEqual({ type: 'fail', reason: 'expired' })
