--- a/src/bench/experiments/index.ts
+++ b/src/bench/experiments/index.ts
@@ -3,7 +3,8 @@
 import { delivery } from './delivery'
 import { fairness } from './fairness'
 import { overhead } from './overhead'
+import { placement } from './placement'
 import { state } from './state'
 
 /** All experiments, in the order in which `npm run bench` runs them. */
-export const experiments: readonly Experiment[] = [overhead, fairness, state, delivery, capacity]
+export const experiments: readonly Experiment[] = [overhead, fairness, state, delivery, placement, capacity]
--- a/src/gateway/AnswerWriter/index.ts
+++ b/src/gateway/AnswerWriter/index.ts
@@ -13,7 +13,9 @@
  *
  * @description
  * The head of a stream is sent with its first event, so that an attempt which fails before it can be repeated. A
- * stream that goes on at another target keeps the head of the first one.
+ * stream that goes on at another target keeps the head of the first one. An answer of a target that has no length and
+ * ends with its connection is passed on in the same way: whether it is whole can't be told, so it must not be framed as
+ * if it were.
  *
  * @param response - The answer to the caller.
  *
@@ -46,12 +48,24 @@
 
   sendWhole ({ status, headers }: Head, body: Buffer): void {
     const selected = selectHeaders(headers)
-    if (status !== 204 && status !== 304) selected['content-length'] = String(body.length)
+    if (!isFramed(headers)) this.#closeWithAnswer()
+    else if (status !== 204 && status !== 304) selected['content-length'] = String(body.length)
     this.#response.writeHead(status, selected)
     this.#response.end(body)
   }
 
   #writeHead ({ status, headers }: Head): void {
-    if (!this.#response.headersSent) this.#response.writeHead(status, selectHeaders(headers))
+    if (this.#response.headersSent) return
+    if (!isFramed(headers)) this.#closeWithAnswer()
+    this.#response.writeHead(status, selectHeaders(headers))
   }
+
+  #closeWithAnswer (): void {
+    this.#response.useChunkedEncodingByDefault = false
+    this.#response.shouldKeepAlive = false
+  }
+}
+
+function isFramed (headers: IncomingHttpHeaders): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -50,6 +50,29 @@
     })
   })
 
+  // Guards against a part of an answer that reaches the caller as if it were whole: its target gave no length and was killed.
+  it('passes on an answer without a length as one without a length', async () => {
+    await runFleet(async fleet => {
+      await fleet.startTarget('t1', (request, response) => {
+        response.useChunkedEncodingByDefault = false
+        response.shouldKeepAlive = false
+        response.writeHead(200, createHead(request)).end('perhaps a part')
+      })
+      await fleet.setDocument({ version: 1, routes: [route('r')] })
+      await fleet.waitUntilReady()
+      const { connect } = await import('node:net')
+      const raw = await new Promise<string>(resolve => {
+        let text = ''
+        const socket = connect(Number(new URL(fleet.url).port), '127.0.0.1', () => socket.write('POST /r/ HTTP/1.1\r\nhost: a.example\r\ncall-id: raw\r\ncontent-length: 1\r\n\r\nx'))
+        socket.on('data', chunk => { text += chunk })
+        socket.on('end', () => resolve(text))
+      })
+      expect(raw).toMatch(/^HTTP\/1.1 200 OK\r\n/)
+      expect(raw).toMatch(/\r\n\r\nperhaps a part$/)
+      expect(raw).not.toMatch(/content-length|transfer-encoding/i)
+    })
+  })
+
   // Guards against a stream with a missing, doubled or torn event, and one that looks complete but is not.
   it('goes on with a resumable stream at another target, and breaks off others', async () => {
     await runFleet(async fleet => {
