--- a/src/instance/_lib/FleetFollower/index.ts
+++ b/src/instance/_lib/FleetFollower/index.ts
@@ -27,6 +27,8 @@
 const RETRY_MS = 100
 const REPORT_INTERVAL_MS = 250
 const REPORT_TIMEOUT_MS = 1_000
+/** A leader that replies to no report for this time is not asked to place calls. */
+const LEADER_SILENT_MS = 700
 
 /**
  * Follows the registry over links to all its replicas: the newest route document from whichever replica has it first,
@@ -42,6 +44,7 @@
   #targetRevision = ''
   #targetsReadAtMs = -Infinity
   #leader: string | undefined
+  #leaderHeardMs = -Infinity
   #isReporting = false
 
   constructor (options: FleetFollowerOptions) {
@@ -57,9 +60,10 @@
     return this.#targetsReadAtMs
   }
 
-  /** Link to the replica that leads, undefined while none is known. */
+  /** Link to the replica that leads, undefined while none is known or it does not reply. */
   get leaderLink (): Link | undefined {
-    return this.#leader === undefined ? undefined : this.#clients.get(this.#leader)?.link
+    if (this.#leader === undefined || performance.now() - this.#leaderHeardMs > LEADER_SILENT_MS) return undefined
+    return this.#clients.get(this.#leader)?.link
   }
 
   start (): void {
@@ -104,7 +108,7 @@
   }
 
   async #accept (host: string, client: LinkClient, view: FleetView): Promise<void> {
-    if (view.isLeader) this.#leader = host
+    if (view.isLeader) this.#setLeader(host)
     else if (this.#leader === host) this.#leader = undefined
     this.addReplicas(view.replicas)
     if (view.targetAgeMs !== undefined) this.#acceptTargets(view, performance.now() - view.targetAgeMs)
@@ -113,6 +117,11 @@
     await this.#fetching
   }
 
+  #setLeader (host: string): void {
+    this.#leader = host
+    this.#leaderHeardMs = performance.now()
+  }
+
   #acceptTargets (view: FleetView, readAtMs: number): void {
     if (readAtMs < this.#targetsReadAtMs) return
     if (view.targets) {
@@ -135,7 +144,9 @@
     if (!client || this.#isReporting) return
     this.#isReporting = true
     try {
-      this.#options.onSummary(LoadSummary.parse(await client.request('reportLoad', this.#options.createReport(), { timeoutMs: REPORT_TIMEOUT_MS })))
+      const summary = LoadSummary.parse(await client.request('reportLoad', this.#options.createReport(), { timeoutMs: REPORT_TIMEOUT_MS }))
+      if (this.#leader === leader) this.#leaderHeardMs = performance.now()
+      this.#options.onSummary(summary)
     } catch (error) {
       this.#options.logger.debug('A load report failed.', { leader, reason: String(error) })
       if (this.#leader === leader) this.#leader = undefined
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -14,7 +14,16 @@
   getMemoryTokens: (service: string) => number | undefined
 }
 
+interface RouterState {
+  /** Makes the ids of the calls of different routers unique. */
+  prefix: string
+  heardMs: number
+}
+
 const Adopted = z.array(RunningPlacement)
+const CHECK_INTERVAL_MS = 250
+/** A router reports its load four times as often. What a silent one has under way can't be followed. */
+const ROUTER_SILENT_MS = 1_000
 
 /**
  * The scheduler of the fleet, at the leader of the registry. Its state is soft: routers tell a new leader what they
@@ -22,7 +31,8 @@
  */
 export class PlacementService {
   readonly #options: PlacementServiceOptions
-  readonly #prefixes = new Map<Link, string>()
+  readonly #routers = new Map<Link, RouterState>()
+  readonly #timer: NodeJS.Timeout
   #scheduler!: PromptScheduler
   #queue!: PlacementQueue
   #targets: readonly TargetEntry[] = []
@@ -30,6 +40,7 @@
 
   constructor (options: PlacementServiceOptions) {
     this.#options = options
+    this.#timer = setInterval(() => this.#removeSilent(), CHECK_INTERVAL_MS)
     this.reset()
   }
 
@@ -37,7 +48,7 @@
     return new Map<string, MessageHandler>([
       ['requestPlacement', (body, link) => this.#queue.request(this.#createGlobal(PlacementRequest.parse(body), link))],
       ['reportProgress', (body, link) => {
-        const prefix = this.#getPrefix(link)
+        const { prefix } = this.#getRouter(link)
         for (const [id, event] of PlacementProgress.parse(body)) this.#queue.record(prefix + id, event)
       }],
       ['adoptPlacements', (body, link) => {
@@ -62,25 +73,39 @@
     this.#queue = new PlacementQueue(this.#scheduler)
   }
 
+  /** Notes that a router is alive. */
+  observeRouter (link: Link): void {
+    this.#getRouter(link).heardMs = performance.now()
+  }
+
   close (): void {
+    clearInterval(this.#timer)
     this.#queue.close()
   }
 
   #createGlobal (request: PlacementRequest, link: Link): PlacementRequest {
     if (!this.#options.isLeader()) throw new AppError('not-leader', 'This replica does not place calls.')
-    return { ...request, id: this.#getPrefix(link) + request.id }
+    return { ...request, id: this.#getRouter(link).prefix + request.id }
   }
 
-  /** Makes the ids of the calls of different routers unique. */
-  #getPrefix (link: Link): string {
-    const known = this.#prefixes.get(link)
-    if (known !== undefined) return known
-    const prefix = `${this.#nextPrefix++}:`
-    this.#prefixes.set(link, prefix)
+  #getRouter (link: Link): RouterState {
+    const known = this.#routers.get(link)
+    if (known) return known
+    const router = { prefix: `${this.#nextPrefix++}:`, heardMs: performance.now() }
+    this.#routers.set(link, router)
     link.onClose(() => {
-      this.#prefixes.delete(link)
-      for (const { request } of this.#scheduler.listRunning()) if (request.id.startsWith(prefix)) this.#queue.record(request.id, 'ended')
+      this.#routers.delete(link)
+      this.#removeCalls(router.prefix)
     })
-    return prefix
+    return router
+  }
+
+  #removeSilent (): void {
+    const sinceMs = performance.now() - ROUTER_SILENT_MS
+    for (const { prefix, heardMs } of this.#routers.values()) if (heardMs < sinceMs) this.#removeCalls(prefix)
+  }
+
+  #removeCalls (prefix: string): void {
+    for (const { request } of this.#scheduler.listRunning()) if (request.id.startsWith(prefix)) this.#queue.record(request.id, 'ended')
   }
 }
--- /dev/null
+++ b/src/instance/_lib/PlacementService/test.ts
@@ -0,0 +1,75 @@
+import type { Link } from '../../../link/Link'
+import { PlacementService } from '.'
+
+const target = { id: 't1', service: 's', host: '10.0.0.1', port: 1, zone: 'z', slots: 1, isDraining: false, warmupMs: 0 }
+const createRequest = (id: string) => ({ id, account: 'a', service: 's', zone: 'z', parts: [{ id: `p${id}`, tokens: 100 }], promptTokens: 100, outputTokens: 10, objectiveMs: 600, excluded: [] })
+
+function createLink (): { link: Link, close: () => void } {
+  const listeners: Array<() => void> = []
+  const link = { onClose: (listener: () => void) => { listeners.push(listener) } } as unknown as Link
+  return { link, close: () => listeners.forEach(listener => listener()) }
+}
+
+function createService (isLeader = true) {
+  const service = new PlacementService({ isLeader: () => isLeader, getMemoryTokens: () => 1_000 })
+  service.setTargets([target])
+  const request = (link: Link, id: string) => service.handlers.get('requestPlacement')!(createRequest(id), link) as Promise<{ type: string }>
+  return { service, request }
+}
+
+describe('PlacementService', () => {
+  beforeEach(() => { jest.useFakeTimers() })
+  afterEach(() => { jest.useRealTimers() })
+
+  // Guards against targets that stay full for ever because of a router that was killed or cut off.
+  it.each([
+    ['its link closes', (service: PlacementService, close: () => void) => close()],
+    ['it reports nothing', () => { jest.advanceTimersByTime(1_500) }]
+  ])('forgets the calls of a router when %s', async (_title, lose) => {
+    const { service, request } = createService()
+    const [lost, other] = [createLink(), createLink()]
+    expect(await request(lost.link, '1')).toMatchObject({ type: 'place' })
+    lose(service, lost.close)
+    expect(await request(other.link, '1')).toMatchObject({ type: 'place' })
+    service.close()
+  })
+
+  it('keeps the calls of a router that reports', async () => {
+    const { service, request } = createService()
+    const [busy, other] = [createLink(), createLink()]
+    await request(busy.link, '1')
+    for (let i = 0; i < 6; i++) {
+      jest.advanceTimersByTime(250)
+      service.observeRouter(busy.link)
+    }
+    const waiting = request(other.link, '1')
+    jest.advanceTimersByTime(300)
+    expect(await waiting).toMatchObject({ type: 'refuse' })
+    service.close()
+  })
+
+  // Guards against two replicas that place calls at the same time, each on a part of the knowledge.
+  it('places nothing at a replica that does not lead, and fails what waits when it is reset', async () => {
+    const follower = createService(false)
+    await expect(async () => await follower.request(createLink().link, '1')).rejects.toMatchObject({ kind: 'not-leader' })
+    follower.service.close()
+    const { service, request } = createService()
+    const { link } = createLink()
+    await request(link, '1')
+    const waiting = request(link, '2')
+    service.reset()
+    await expect(waiting).rejects.toMatchObject({ kind: 'shutting-down' })
+    service.close()
+  })
+
+  it('counts what a router reports to a new leader', async () => {
+    const { service, request } = createService()
+    const { link } = createLink()
+    service.handlers.get('adoptPlacements')!([{ request: createRequest('9'), target: 't1', readMs: 5, isRead: true }], link)
+    const waiting = request(link, '10')
+    service.handlers.get('reportProgress')!([['9', 'ended']], link)
+    jest.advanceTimersByTime(50)
+    expect(await waiting).toMatchObject({ type: 'place' })
+    service.close()
+  })
+})
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -93,6 +93,7 @@
     ['fetchDocument', () => table.document ?? null],
     ['reportLoad', (body, link) => {
       if (!isLeader()) throw new AppError('not-leader', 'This replica does not merge load reports.')
+      placement.observeRouter(link)
       loads.record(link.peer.instance, LoadReport.parse(body), performance.now())
       return loads.computeSummary(link.peer.instance, performance.now())
     }]
--- a/src/routing/EngineState/index.ts
+++ b/src/routing/EngineState/index.ts
@@ -1,6 +1,9 @@
 import type { PromptPart } from '../../contract/PromptPart'
 import { computeReadMs } from '../computeReadMs'
 
+/** An engine that is unreachable or hangs says nothing; a busy one begins one of its calls within this time. */
+const SILENT_AFTER_MS = 1_000
+
 /**
  * @name EngineState
  * @category Routing
@@ -21,6 +24,9 @@
   /** Tokens of the kept parts, the least recently used first. */
   readonly #kept = new Map<string, number>()
   readonly #users = new Map<string, number>()
+  /** When the calls were placed whose first event has not come, the oldest first. */
+  readonly #unread = new Map<string, number>()
+  #lastReadMs = -Infinity
   #keptTokens = 0
   running = 0
   /** Estimated time to read the prompts that were placed and not read yet. */
@@ -44,9 +50,10 @@
     return { readMs: computeReadMs(Math.max(1, promptTokens - keptTokens), keptTokens), keptTokens }
   }
 
-  start (parts: readonly PromptPart[], readMs: number): void {
+  start ({ id, parts, readMs }: { id: string, parts: readonly PromptPart[], readMs: number }, nowMs: number): void {
     this.running++
     this.pendingMs += readMs
+    this.#unread.set(id, nowMs)
     for (const { id, tokens } of parts) {
       if (!this.#kept.has(id)) this.#keptTokens += tokens
       this.#kept.delete(id)
@@ -56,12 +63,21 @@
     this.#evict()
   }
 
-  read (readMs: number): void {
-    this.pendingMs = Math.max(0, this.pendingMs - readMs)
+  /** The first event of a call came. */
+  read ({ id, readMs }: { id: string, readMs: number }, nowMs: number): void {
+    this.#lastReadMs = nowMs
+    this.#removeUnread(id, readMs)
+  }
+
+  /** Whether nothing has come from the engine since a call was placed that should long have begun. */
+  isSilent (nowMs: number): boolean {
+    const [oldestMs] = this.#unread.values()
+    return oldestMs !== undefined && this.#lastReadMs < oldestMs && nowMs - oldestMs > SILENT_AFTER_MS + this.pendingMs
   }
 
-  stop (parts: readonly PromptPart[]): void {
+  stop ({ id, parts, readMs }: { id: string, parts: readonly PromptPart[], readMs: number }): void {
     this.running--
+    this.#removeUnread(id, readMs)
     for (const { id } of parts) {
       const users = (this.#users.get(id) ?? 1) - 1
       if (users > 0) this.#users.set(id, users)
@@ -69,6 +85,10 @@
     }
   }
 
+  #removeUnread (id: string, readMs: number): void {
+    if (this.#unread.delete(id)) this.pendingMs = Math.max(0, this.pendingMs - readMs)
+  }
+
   #evict (): void {
     if (this.#keptTokens <= this.#memoryTokens) return
     for (const [id, tokens] of this.#kept) {
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -148,9 +148,7 @@
     if (!call) return
     if (event === 'read') return this.#recordRead(call, nowMs)
     this.#running.delete(id)
-    const engine = this.#engines.get(call.target)
-    if (!call.isRead) engine?.read(call.readMs)
-    engine?.stop(call.request.parts)
+    this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.readMs })
     const circuit = formatCircuit(call.target, call.request.zone)
     if (event === 'unreachable') this.#circuits.open(circuit, nowMs)
     else if (event === 'lost') this.#circuits.recordFailure(circuit, nowMs)
@@ -164,7 +162,7 @@
   #recordRead (call: Running, nowMs: number): void {
     if (call.isRead) return
     call.isRead = true
-    this.#engines.get(call.target)?.read(call.readMs)
+    this.#engines.get(call.target)?.read({ id: call.request.id, readMs: call.readMs }, nowMs)
     this.#speeds.record(call.target, { estimatedMs: call.estimatedMs, measuredMs: nowMs - call.startedMs }, nowMs)
     this.#circuits.recordSuccess(formatCircuit(call.target, call.request.zone))
   }
@@ -197,14 +195,14 @@
     this.#running.set(request.id, { request, target, readMs, isRead: false, startedMs: nowMs, estimatedMs })
     this.#usage.charge(request.account, computeCallCost({ ...request, readMs }), nowMs)
     const entry = this.#targets.find(({ id }) => id === target)
-    if (entry) this.#getEngine(entry).start(request.parts, readMs)
+    if (entry) this.#getEngine(entry).start({ id: request.id, parts: request.parts, readMs }, nowMs)
   }
 
   #listOptions ({ service, zone, parts, promptTokens, excluded }: PlacementRequest, nowMs: number): Option[] {
     // The last part belongs to the request itself or to its session; the one before it is shared by most requests.
     const key = parts.length === 0 ? '' : parts[Math.max(0, parts.length - 2)].id
     const usable = this.#listInOrder(service, key).filter(({ id }) => !excluded.includes(id))
-    const closed = usable.filter(({ id }) => this.#circuits.isClosed(formatCircuit(id, zone), nowMs))
+    const closed = usable.filter(({ id }) => this.#circuits.isClosed(formatCircuit(id, zone), nowMs) && !this.#engines.get(id)?.isSilent(nowMs))
     const targets = closed.length > 0 ? closed : usable
     const share = this.#options.getShare()
     return targets.flatMap((target, rank) => {
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -113,6 +113,12 @@
     expect(getTarget(both.request(createRequest({ zone: 'y' }), 3))).toBe(target)
   })
 
+  it('leaves out an engine from which nothing comes', () => {
+    const scheduler = createScheduler([createTarget('t1'), createTarget('t2')])
+    const target = getTarget(scheduler.request(createRequest(), 0))
+    expect(getTarget(scheduler.request(createRequest(), 3_000))).not.toBe(target)
+  })
+
   // Guards against load that stays counted for ever after a caller left or a router restarted.
   it('knows the same load after calls were adopted, withdrawn and ended', () => {
     const scheduler = createScheduler()
--- a/test/pages.test.ts
+++ b/test/pages.test.ts
@@ -31,10 +31,10 @@
     for (const row of rows) expect(row.slice(5).every(cell => cell.length > 0)).toBe(true)
   })
 
-  it('docs/operations.md has a section with symptoms, commands and actions for each failure of the design page', () => {
+  it('docs/OPERATIONS.md has a section with symptoms, commands and actions for each failure of the design page', () => {
     const design = readPage('docs/design.md').split('## 11.')[1].split('## 12.')[0]
     const failures = design.split('\n').filter(line => line.startsWith('| ') && !line.startsWith('| part ')).length
-    const sections = readPage('docs/operations.md').split(/^## /m).slice(1).filter(section => section.includes('**Symptoms:**'))
+    const sections = readPage('docs/OPERATIONS.md').split(/^## /m).slice(1).filter(section => section.includes('**Symptoms:**'))
     expect(sections).toHaveLength(failures)
     for (const section of sections) expect(section).toMatch(/\*\*Commands:\*\*[^]*\*\*What to do:\*\*/)
   })
