--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -24,6 +24,8 @@
 interface Option {
   target: TargetEntry
   engine: EngineState
+  /** Time to read the prompt at an engine of the usual speed, and at this one. */
+  usualReadMs: number
   readMs: number
   /** Time until the engine has read what was placed there before. */
   waitMs: number
@@ -44,10 +46,10 @@
 const PATIENCE_MS = 200
 /** A prompt that takes this part of the objective to read can hardly begin in time behind others; so it waits longer. */
 const LARGE_SHARE = 0.6
-const LARGE_PATIENCE_MS = 600
+const LARGE_PATIENCE_MS = 400
 /** While large prompts are served less than this part as often as all, they may begin behind others: late rather than never. */
-const LEAST_LARGE_SERVED = 0.4
-const LARGE_WAIT_MS = 30
+const LEAST_LARGE_SERVED = 0.35
+const LARGE_WAIT_MS = 20
 /** Part of the time until the first event that no engine saves: transport, batching and the first token itself. */
 const FIRST_EVENT_MS = 120
 /** Prompts are read where they belong, or at one other target that all schedulers agree on, or where they are kept. */
@@ -170,7 +172,7 @@
   #chooseVerdict ({ request, sinceMs }: Waiting, nowMs: number): PlacementVerdict | undefined {
     const options = this.#listOptions(request, nowMs)
     if (options.length === 0) return { type: 'none' }
-    const isLarge = Math.min(...options.map(({ readMs }) => readMs)) > LARGE_SHARE * request.objectiveMs
+    const isLarge = Math.min(...options.map(({ usualReadMs }) => usualReadMs)) > LARGE_SHARE * request.objectiveMs
     const limits = { inTimeMs: request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_MS, waitMs: isLarge ? this.#getLargeWaitMs() : 0 }
     const open = options.filter(option => hasRoom(option, limits) && option.engine.running < option.target.slots * this.#options.getShare())
     const best = chooseBest(open)
@@ -210,7 +212,7 @@
       if (rank >= AGREED_TARGETS && !engine.has(key)) return []
       const slowdown = this.#speeds.getSlowdown(target.id, nowMs)
       const { readMs } = engine.computeRead(parts, promptTokens)
-      return [{ target, engine, readMs: readMs * slowdown, waitMs: engine.pendingMs / share * slowdown, rank }]
+      return [{ target, engine, usualReadMs: readMs, readMs: readMs * slowdown, waitMs: engine.pendingMs / share * slowdown, rank }]
     })
   }
 
