--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -8,7 +8,6 @@
 import { computeCallCost } from '../computeCallCost'
 import { EngineState } from '../EngineState'
 import { RendezvousOrder } from '../RendezvousOrder'
-import { ServedShare } from '../ServedShare'
 import { TargetSpeeds } from '../TargetSpeeds'
 
 interface Waiting {
@@ -44,12 +43,9 @@
 
 /** How long a request waits for room. One that no engine can begin to answer in time is refused then. */
 const PATIENCE_MS = 200
-/** A prompt that takes this part of the objective to read can hardly begin in time behind others; so it waits longer. */
+/** A prompt that takes this part of the objective to read finds room only at an engine with nothing to read; so it waits longer. */
 const LARGE_SHARE = 0.6
-const LARGE_PATIENCE_MS = 400
-/** While large prompts are served less than this part as often as all, they may begin behind others: late rather than never. */
-const LEAST_LARGE_SERVED = 0.35
-const LARGE_WAIT_MS = 20
+const LARGE_PATIENCE_MS = 260
 /** Part of the time until the first event that no engine saves: transport, batching and the first token itself. */
 const FIRST_EVENT_MS = 120
 /** Prompts are read where they belong, or at one other target that all schedulers agree on, or where they are kept. */
@@ -86,8 +82,6 @@
   readonly #speeds = new TargetSpeeds()
   readonly #circuits = new CircuitBreaker()
   readonly #engines = new Map<string, EngineState>()
-  readonly #served = new ServedShare()
-  readonly #largeServed = new ServedShare()
   readonly #waiting = new Map<string, Waiting>()
   readonly #running = new Map<string, Running>()
   /** Targets of a service in the order of a key; emptied when the targets change. */
@@ -173,20 +167,14 @@
     const options = this.#listOptions(request, nowMs)
     if (options.length === 0) return { type: 'none' }
     const isLarge = Math.min(...options.map(({ usualReadMs }) => usualReadMs)) > LARGE_SHARE * request.objectiveMs
-    const limits = { inTimeMs: request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_MS, waitMs: isLarge ? this.#getLargeWaitMs() : 0 }
-    const open = options.filter(option => hasRoom(option, limits) && option.engine.running < option.target.slots * this.#options.getShare())
+    const limitMs = request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_MS
+    const open = options.filter(option => isInTime(option, limitMs) && option.engine.running < option.target.slots * this.#options.getShare())
     const best = chooseBest(open)
-    if (!best && nowMs - sinceMs < (isLarge ? LARGE_PATIENCE_MS : PATIENCE_MS)) return undefined
-    this.#served.record(best !== undefined, nowMs)
-    if (isLarge) this.#largeServed.record(best !== undefined, nowMs)
     if (best) return this.#place(request, best, nowMs)
+    if (nowMs - sinceMs < (isLarge ? LARGE_PATIENCE_MS : PATIENCE_MS)) return undefined
     return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random() }
   }
 
-  #getLargeWaitMs (): number {
-    return this.#largeServed.get() < LEAST_LARGE_SERVED * this.#served.get() ? LARGE_WAIT_MS : 0
-  }
-
   #place (request: PlacementRequest, { target, readMs, waitMs }: Option, nowMs: number): PlacementVerdict {
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
     this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs }, nowMs)
@@ -239,9 +227,9 @@
   }
 }
 
-/** Whether the first event is predicted in time, or the engine has so little to read that a prompt of any size may begin. */
-function hasRoom ({ waitMs, readMs }: Option, limits: { inTimeMs: number, waitMs: number }): boolean {
-  return waitMs + readMs <= limits.inTimeMs || waitMs <= limits.waitMs
+/** Whether the first event is predicted within the limit. An engine with nothing to read takes a prompt of any size. */
+function isInTime ({ waitMs, readMs }: Option, limitMs: number): boolean {
+  return waitMs + readMs <= limitMs || waitMs === 0
 }
 
 /** The least time until the prompt is read; time to read again what another target keeps counts twice. */
