--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -43,9 +43,12 @@
 
 /** How long a request waits for room. One that no engine can begin to answer in time is refused then. */
 const PATIENCE_MS = 200
-/** A prompt that takes this part of the objective to read finds room only at an engine with nothing to read; so it waits longer. */
+/** A prompt that takes this part of the objective to read can hardly begin in time behind others. */
 const LARGE_SHARE = 0.6
-const LARGE_PATIENCE_MS = 260
+/** So a few large prompts at a time, one for this many engines, may begin behind others, and wait longer for it. */
+const ENGINES_PER_LARGE = 8
+const LARGE_WAIT_MS = 100
+const LARGE_PATIENCE_MS = 1_000
 /** Part of the time until the first event that no engine saves: transport, batching and the first token itself. */
 const FIRST_EVENT_MS = 120
 /** Prompts are read where they belong, or at one other target that all schedulers agree on, or where they are kept. */
@@ -82,6 +85,8 @@
   readonly #speeds = new TargetSpeeds()
   readonly #circuits = new CircuitBreaker()
   readonly #engines = new Map<string, EngineState>()
+  /** Large prompts that engines read at present. */
+  readonly #largeReading = new Set<string>()
   readonly #waiting = new Map<string, Waiting>()
   readonly #running = new Map<string, Running>()
   /** Targets of a service in the order of a key; emptied when the targets change. */
@@ -140,6 +145,7 @@
   /** Notes what became of a call. */
   record (id: string, event: Event, nowMs: number): void {
     this.#waiting.delete(id)
+    this.#largeReading.delete(id)
     const call = this.#running.get(id)
     if (!call) return
     if (event === 'read') return this.#recordRead(call, nowMs)
@@ -167,14 +173,19 @@
     const options = this.#listOptions(request, nowMs)
     if (options.length === 0) return { type: 'none' }
     const isLarge = Math.min(...options.map(({ usualReadMs }) => usualReadMs)) > LARGE_SHARE * request.objectiveMs
-    const limitMs = request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_MS
-    const open = options.filter(option => isInTime(option, limitMs) && option.engine.running < option.target.slots * this.#options.getShare())
+    const limits = { inTimeMs: request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_MS, waitMs: isLarge && this.#isLargeAllowed() ? LARGE_WAIT_MS : 0 }
+    const open = options.filter(option => hasRoom(option, limits) && option.engine.running < option.target.slots * this.#options.getShare())
     const best = chooseBest(open)
+    if (best && isLarge) this.#largeReading.add(request.id)
     if (best) return this.#place(request, best, nowMs)
     if (nowMs - sinceMs < (isLarge ? LARGE_PATIENCE_MS : PATIENCE_MS)) return undefined
     return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random() }
   }
 
+  #isLargeAllowed (): boolean {
+    return this.#largeReading.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE))
+  }
+
   #place (request: PlacementRequest, { target, readMs, waitMs }: Option, nowMs: number): PlacementVerdict {
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
     this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs }, nowMs)
@@ -227,9 +238,9 @@
   }
 }
 
-/** Whether the first event is predicted within the limit. An engine with nothing to read takes a prompt of any size. */
-function isInTime ({ waitMs, readMs }: Option, limitMs: number): boolean {
-  return waitMs + readMs <= limitMs || waitMs === 0
+/** Whether the first event is predicted in time, or the engine has so little to read that a prompt of any size may begin. */
+function hasRoom ({ waitMs, readMs }: Option, limits: { inTimeMs: number, waitMs: number }): boolean {
+  return waitMs + readMs <= limits.inTimeMs || waitMs <= limits.waitMs
 }
 
 /** The least time until the prompt is read; time to read again what another target keeps counts twice. */
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -65,6 +65,17 @@
     expect(scheduler.request(createRequest({ ownTokens: 60_000 }), 0)).toBeUndefined()
   })
 
+  // Guards against sizes that are never served under overload, because smaller prompts always find room before them.
+  it('lets a few large prompts at a time begin behind others', () => {
+    const scheduler = createScheduler()
+    for (const shared of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']) scheduler.request(createRequest({ shared, sharedTokens: 10, ownTokens: 5_000 }), 0)
+    const large = Array.from({ length: 3 }, (_, i) => createRequest({ shared: `large${i}`, sharedTokens: 10, ownTokens: 40_000 }))
+    const verdicts = large.map(request => getTarget(scheduler.request(request, 0)))
+    expect(verdicts.filter(target => target !== undefined)).toHaveLength(1)
+    scheduler.record(large[verdicts.findIndex(target => target !== undefined)].id, 'read', 500)
+    expect([...scheduler.step(510)].filter(([, verdict]) => verdict.type === 'place')).toHaveLength(1)
+  })
+
   // Load pattern: one account sends many times its usual. Its requests must not displace those of the others.
   it('lets the account with the least recent use go first', () => {
     const scheduler = createScheduler([createTarget('t1', { slots: 1 })])
