--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -68,7 +68,7 @@
   // Guards against sizes that are never served under overload, because smaller prompts always find room before them.
   it('lets a few large prompts at a time begin behind others', () => {
     const scheduler = createScheduler()
-    for (const shared of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']) scheduler.request(createRequest({ shared, sharedTokens: 10, ownTokens: 5_000 }), 0)
+    for (const shared of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']) scheduler.request(createRequest({ shared, sharedTokens: 10, ownTokens: 2_000 }), 0)
     const large = Array.from({ length: 3 }, (_, i) => createRequest({ shared: `large${i}`, sharedTokens: 10, ownTokens: 40_000 }))
     const verdicts = large.map(request => getTarget(scheduler.request(request, 0)))
     expect(verdicts.filter(target => target !== undefined)).toHaveLength(1)
