--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -45,10 +45,9 @@
 const PATIENCE_MS = 200
 /** A prompt that takes this part of the objective to read can hardly begin in time behind others. */
 const LARGE_SHARE = 0.6
-/** So a few large prompts at a time, one for this many engines, may begin behind others, and wait longer for it. */
+/** So a few large prompts at a time, one for this many engines, may begin behind others. */
 const ENGINES_PER_LARGE = 8
 const LARGE_WAIT_MS = 100
-const LARGE_PATIENCE_MS = 1_000
 /** Part of the time until the first event that no engine saves: transport, batching and the first token itself. */
 const FIRST_EVENT_MS = 120
 /** Prompts are read where they belong, or at one other target that all schedulers agree on, or where they are kept. */
@@ -178,7 +177,7 @@
     const best = chooseBest(open)
     if (best && isLarge) this.#largeReading.add(request.id)
     if (best) return this.#place(request, best, nowMs)
-    if (nowMs - sinceMs < (isLarge ? LARGE_PATIENCE_MS : PATIENCE_MS)) return undefined
+    if (nowMs - sinceMs < PATIENCE_MS) return undefined
     return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random() }
   }
 
