--- a/src/gateway/CallRecord/index.ts
+++ b/src/gateway/CallRecord/index.ts
@@ -12,11 +12,19 @@
   reason?: string
 }
 
+/** What the placement was decided by: estimated wait and reading time, and the instance that decided. */
+interface Estimate {
+  waitMs: number
+  readMs: number
+  scheduler: string
+}
+
 interface Attempt {
   target: string | undefined
   /** Milliseconds from the arrival of the request to the placement and to the end of the attempt. */
   placedMs: number
   endedMs: number
+  estimate?: Estimate
   result: AttemptResult['type']
 }
 
@@ -39,6 +47,7 @@
   readonly #attempts: Attempt[] = []
   #target: string | undefined
   #placedMs = 0
+  #estimate: Estimate | undefined
   #admission: { route: string, account: string | undefined, service: string, version: number } | undefined
 
   constructor (options: { logger: PartLogger, metrics: Metrics }) {
@@ -49,14 +58,15 @@
     this.#admission = admission
   }
 
-  addPlacement (target: string | undefined): void {
+  addPlacement (target: string | undefined, estimate?: Estimate): void {
     this.#target = target
+    this.#estimate = estimate
     this.#placedMs = this.#getElapsedMs()
     if (this.#attempts.length === 0) this.#options.metrics.observeWait(this.#service, this.#placedMs / 1e3)
   }
 
   addResult (result: AttemptResult['type']): void {
-    this.#attempts.push({ target: this.#target, placedMs: this.#placedMs, endedMs: this.#getElapsedMs(), result })
+    this.#attempts.push({ target: this.#target, placedMs: this.#placedMs, endedMs: this.#getElapsedMs(), result, estimate: this.#estimate })
   }
 
   close (facts: CallFacts, { outcome, status, kind, reason }: CallEnd): void {
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -114,7 +114,7 @@
 
   async #runAttempt (call: AdmittedCall, order: Order): Promise<AttemptResult> {
     const place = await placeCall(this.#createPlaceRequest(call, order), this.#context)
-    this.#record.addPlacement(place.type === 'place' ? place.target.id : undefined)
+    this.#record.addPlacement(place.type === 'place' ? place.target.id : undefined, 'estimate' in place ? place.estimate : undefined)
     if (place.type !== 'place') return place
     if (this.#isLeft || this.#isExpired) {
       place.record('ended')
--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -32,7 +32,7 @@
  * as an even share of the whole.
  *
  * @example
- * const verdict = await placements.request(request)
+ * const { verdict } = await placements.request(request)
  * placements.record(request.id, 'ended')
  */
 export class PlacementClient {
@@ -56,22 +56,24 @@
     this.#local.setTargets(entries)
   }
 
-  async request (request: PlacementRequest): Promise<PlacementVerdict> {
+  /** The verdict, and the instance that decided: `local` is this router. */
+  async request (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
     const link = this.#findLink()
-    if (!link) return this.#queue.request(request)
+    if (!link) return this.#requestHere(request)
     try {
       const verdict = PlacementVerdict.parse(await link.request('requestPlacement', request, { timeoutMs: REPLY_TIMEOUT_MS }))
-      if (verdict.type !== 'place') return verdict
+      const decided = { verdict, scheduler: link.peer.instance }
+      if (verdict.type !== 'place') return decided
       this.#placedBy.set(request.id, link)
       this.#local.accept({ request, target: verdict.target, readMs: verdict.readMs, isRead: false }, performance.now())
-      return verdict
+      return decided
     } catch (error) {
       this.#options.logger.warn('The scheduler did not reply; this router decides by itself.', { scheduler: link.peer.instance, requestId: request.id, reason: String(error) })
       this.#avoidUntilMs = performance.now() + AVOID_MS
       this.#known = undefined
       // The verdict may still be on its way; the scheduler must not count the call as running there.
       link.send('reportProgress', [[request.id, 'ended']] satisfies PlacementProgress)
-      return await this.#queue.request(request)
+      return await this.#requestHere(request)
     }
   }
 
@@ -88,6 +90,10 @@
     this.#queue.close()
   }
 
+  async #requestHere (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
+    return { verdict: await this.#queue.request(request), scheduler: 'local' }
+  }
+
   #findLink (): Link | undefined {
     if (performance.now() < this.#avoidUntilMs) return undefined
     const link = this.#options.getLink()
--- /dev/null
+++ b/src/gateway/PlacementClient/test.ts
@@ -0,0 +1,59 @@
+import { AppError } from '../../contract/AppError'
+import type { Link } from '../../link/Link'
+import { PlacementClient } from '.'
+
+const target = { id: 't1', service: 's', host: '10.0.0.1', port: 1, zone: 'z', slots: 8, isDraining: false, warmupMs: 0 }
+const createRequest = (id: string) => ({ id, account: 'a', service: 's', zone: 'z', parts: [{ id: 'p', tokens: 100 }], promptTokens: 100, outputTokens: 10, objectiveMs: 600, excluded: [] })
+
+interface FakeLink { link: Link, sent: Array<[string, unknown]>, requests: string[] }
+
+function createLink (reply: () => Promise<unknown>): FakeLink {
+  const sent: Array<[string, unknown]> = []
+  const requests: string[] = []
+  const link = {
+    peer: { instance: 'c1' },
+    isClosed: false,
+    send: (type: string, body: unknown) => { sent.push([type, body]) },
+    request: (_type: string, body: { id: string }) => { requests.push(body.id); return reply() }
+  }
+  return { link: link as unknown as Link, sent, requests }
+}
+
+function createClient (getLink: () => Link | undefined): PlacementClient {
+  const log = (): void => {}
+  const client = new PlacementClient({ getLink, getMemoryTokens: () => 10_000, countRouters: () => 1, logger: { error: log, warn: log, info: log, debug: log } })
+  client.setTargets([target])
+  return client
+}
+
+describe('PlacementClient', () => {
+  it('decides by itself while no scheduler is known', async () => {
+    expect(await createClient(() => undefined).request(createRequest('1'))).toMatchObject({ scheduler: 'local', verdict: { type: 'place', target: 't1' } })
+  })
+
+  // Guards against requests that wait for a scheduler which was killed or cut off, one after the other.
+  it('decides by itself when the scheduler does not reply, and does not ask it again at once', async () => {
+    const { link, sent, requests } = createLink(() => Promise.reject(new AppError('control-unavailable', 'No reply.')))
+    const client = createClient(() => link)
+    expect((await client.request(createRequest('1'))).scheduler).toBe('local')
+    expect((await client.request(createRequest('2'))).scheduler).toBe('local')
+    expect(requests).toEqual(['1'])
+    // The verdict may still come; the call must not stay counted there.
+    expect(sent).toContainEqual(['reportProgress', [['1', 'ended']]])
+  })
+
+  it('tells a new scheduler what is under way, and each scheduler what became of its calls', async () => {
+    const place = async (): Promise<unknown> => ({ type: 'place', target: 't1', waitMs: 0, readMs: 5 })
+    const [first, second] = [createLink(place), createLink(place)]
+    let current = first
+    const client = createClient(() => current.link)
+    expect((await client.request(createRequest('1'))).scheduler).toBe('c1')
+    current = second
+    await client.request(createRequest('2'))
+    expect(second.sent[0]).toMatchObject(['adoptPlacements', [{ request: { id: '1' }, target: 't1' }]])
+    client.record('1', 'ended')
+    client.record('2', 'read')
+    await new Promise(resolve => setImmediate(resolve))
+    expect(second.sent.slice(1)).toEqual([['reportProgress', [['1', 'ended'], ['2', 'read']]]])
+  })
+})
--- a/src/gateway/placeCall/index.ts
+++ b/src/gateway/placeCall/index.ts
@@ -12,9 +12,16 @@
   excluded: ReadonlySet<string>
 }
 
+/** Estimated times until the engine begins with the prompt and until it has read it, and who estimated them. */
+interface Estimate {
+  waitMs: number
+  readMs: number
+  scheduler: string
+}
+
 type Place =
-  | { type: 'place', target: TargetEntry, record: (event: PlacementProgress[number][1]) => void }
-  | { type: 'refused', retryAfterS: number }
+  | { type: 'place', target: TargetEntry, estimate?: Estimate, record: (event: PlacementProgress[number][1]) => void }
+  | { type: 'refused', retryAfterS: number, estimate: Estimate }
   | { type: 'no-target' }
 
 /** Part of the most output tokens that is usually generated, for callers that give no estimate. */
@@ -46,10 +53,10 @@
   const { placements, zone, findTarget, loads } = context
   const { parts, promptTokens, outputTokens, outputHint } = facts
   const id = String(nextId++)
-  const verdict = await placements.request({ id, account, service, zone, parts, promptTokens, outputTokens: outputHint ?? outputTokens * USUAL_OUTPUT_SHARE, objectiveMs, excluded: [...excluded] })
-  if (verdict.type === 'refuse') return { type: 'refused', retryAfterS: verdict.retryAfterS }
+  const { verdict, scheduler } = await placements.request({ id, account, service, zone, parts, promptTokens, outputTokens: outputHint ?? outputTokens * USUAL_OUTPUT_SHARE, objectiveMs, excluded: [...excluded] })
+  if (verdict.type === 'refuse') return { type: 'refused', retryAfterS: verdict.retryAfterS, estimate: createEstimate(verdict, scheduler) }
   const target = verdict.type === 'place' ? findTarget(verdict.target) : undefined
-  if (!target) {
+  if (!target || verdict.type !== 'place') {
     placements.record(id, 'ended')
     return { type: 'no-target' }
   }
@@ -61,7 +68,11 @@
     isRead = true
     placements.record(id, event)
   }
-  return { type: 'place', target, record }
+  return { type: 'place', target, estimate: createEstimate(verdict, scheduler), record }
+}
+
+function createEstimate ({ waitMs, readMs }: { waitMs: number, readMs: number }, scheduler: string): Estimate {
+  return { waitMs: Math.round(waitMs), readMs: Math.round(readMs), scheduler }
 }
 
 function placeOther ({ facts, service, excluded }: PlaceRequest, { placer, loads }: GatewayContext): Place {
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -75,7 +75,7 @@
  * @example
  * const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => 1, random: Math.random })
  * scheduler.setTargets(entries)
- * scheduler.request(request, nowMs) // { type: 'place', target: 'i-1', readMs: 80 }, or undefined while it waits
+ * scheduler.request(request, nowMs) // { type: 'place', target: 'i-1', waitMs: 0, readMs: 80 }, or undefined while it waits
  */
 export class PromptScheduler {
   readonly #options: PromptSchedulerOptions
@@ -178,7 +178,8 @@
     if (best && isLarge) this.#largeReading.add(request.id)
     if (best) return this.#place(request, best, nowMs)
     if (nowMs - sinceMs < PATIENCE_MS) return undefined
-    return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random() }
+    const { waitMs, readMs } = options.reduce((least, next) => next.waitMs + next.readMs < least.waitMs + least.readMs ? next : least)
+    return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random(), waitMs, readMs }
   }
 
   #isLargeAllowed (): boolean {
@@ -188,7 +189,7 @@
   #place (request: PlacementRequest, { target, readMs, waitMs }: Option, nowMs: number): PlacementVerdict {
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
     this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs }, nowMs)
-    return { type: 'place', target: target.id, readMs }
+    return { type: 'place', target: target.id, waitMs, readMs }
   }
 
   #start (request: PlacementRequest, { target, readMs, estimatedMs }: { target: string, readMs: number, estimatedMs: number }, nowMs: number): void {
