--- a/src/routing/EngineState/index.ts
+++ b/src/routing/EngineState/index.ts
@@ -40,11 +40,11 @@
     return this.#kept.has(part)
   }
 
-  /** Estimated time to read a prompt here, given the parts that are kept. */
-  computeRead (parts: readonly PromptPart[], promptTokens: number): { readMs: number, keptTokens: number } {
+  /** Estimated time to read a prompt here, given the parts that are kept and a number of first parts that are taken as kept. */
+  computeRead (parts: readonly PromptPart[], promptTokens: number, assumedParts = 0): { readMs: number, keptTokens: number } {
     let keptTokens = 0
-    for (const { id, tokens } of parts) {
-      if (!this.#kept.has(id)) break
+    for (const [index, { id, tokens }] of parts.entries()) {
+      if (index >= assumedParts && !this.#kept.has(id)) break
       keptTokens += tokens
     }
     return { readMs: computeReadMs(Math.max(1, promptTokens - keptTokens), keptTokens), keptTokens }
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -37,6 +37,8 @@
   /** What is under way here is this part of what is under way at the engines: 1 if all requests are placed here. */
   getShare: () => number
   random: () => number
+  /** When the scheduler began; monotonic milliseconds. */
+  startedMs: number
 }
 
 type Event = PlacementProgress[number][1]
@@ -54,6 +56,8 @@
 const AGREED_TARGETS = 2
 /** Prefers the target where a prompt belongs among equal ones. */
 const RANK_MS = 4
+/** A new scheduler does not know what engines keep. For this time it takes the shared parts as kept where they belong, as its predecessor left them. */
+const LEARNING_MS = 8_000
 const MAX_CACHED_ORDERS = 4_096
 const RETRY_AFTER_S = 1.6
 const RETRY_AFTER_SPREAD_S = 0.8
@@ -70,10 +74,10 @@
  * the least recent use of their client accounts. Prompts stay where their shared parts are kept. Pure: times are
  * milliseconds of a monotonic clock.
  *
- * @param options - Memory of engines, share of the load that is placed here, random numbers.
+ * @param options - Memory of engines, share of the load that is placed here, random numbers, time of the start.
  *
  * @example
- * const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => 1, random: Math.random })
+ * const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => 1, random: Math.random, startedMs: performance.now() })
  * scheduler.setTargets(entries)
  * scheduler.request(request, nowMs) // { type: 'place', target: 'i-1', waitMs: 0, readMs: 80 }, or undefined while it waits
  */
@@ -206,11 +210,12 @@
     const closed = usable.filter(({ id }) => this.#circuits.isClosed(formatCircuit(id, zone), nowMs) && !this.#engines.get(id)?.isSilent(nowMs))
     const targets = closed.length > 0 ? closed : usable
     const share = this.#options.getShare()
+    const isLearning = nowMs - this.#options.startedMs < LEARNING_MS
     return targets.flatMap((target, rank) => {
       const engine = this.#getEngine(target)
       if (rank >= AGREED_TARGETS && !engine.has(key)) return []
       const slowdown = this.#speeds.getSlowdown(target.id, nowMs)
-      const { readMs } = engine.computeRead(parts, promptTokens)
+      const { readMs } = engine.computeRead(parts, promptTokens, isLearning && rank === 0 ? parts.length - 1 : 0)
       return [{ target, engine, usualReadMs: readMs, readMs: readMs * slowdown, waitMs: engine.pendingMs / share * slowdown, rank }]
     })
   }
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -4,8 +4,8 @@
 
 const createTarget = (id: string, changes: object = {}) => ({ id, service: 's', host: '10.0.0.1', port: 1, zone: 'z', slots: 48, isDraining: false, warmupMs: 0, ...changes })
 
-function createScheduler (targets = ['t1', 't2', 't3', 't4'].map(id => createTarget(id))) {
-  const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => 1, random: () => 0.5 })
+function createScheduler (targets = ['t1', 't2', 't3', 't4'].map(id => createTarget(id)), startedMs = -60_000) {
+  const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => 1, random: () => 0.5, startedMs })
   scheduler.setTargets(targets)
   return scheduler
 }
@@ -108,6 +108,15 @@
     expect(getTarget(scheduler.request(createRequest(), 3_000))).not.toBe(target)
   })
 
+  // Load pattern: a new scheduler after a failure. Taking every part as unread, it refuses what the engines could serve at once.
+  it('takes shared parts as kept where they belong, while it is new', () => {
+    const read = (startedMs: number) => {
+      const verdict = createScheduler(undefined, startedMs).request(createRequest(), 0)
+      return verdict?.type === 'place' ? verdict.readMs : Infinity
+    }
+    expect(read(0)).toBeLessThan(read(-60_000) / 2)
+  })
+
   // Guards against load that stays counted for ever after a caller left or a router restarted.
   it('knows the same load after calls were adopted, withdrawn and ended', () => {
     const scheduler = createScheduler()
@@ -122,7 +131,7 @@
 
   it('counts its own load as the share of the whole that it is', () => {
     const place = (share: number) => {
-      const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => share, random: () => 0 })
+      const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getShare: () => share, random: () => 0, startedMs: -60_000 })
       scheduler.setTargets([createTarget('t1')])
       return Array.from({ length: 40 }, (_, i) => scheduler.request(createRequest({ shared: `d${i}`, sharedTokens: 1_000, ownTokens: 1_000 }), 0)).filter(verdict => verdict?.type === 'place').length
     }
