Keep the ports of the gateway's tests reserved until their end

Ruled out: a fault of the booking path, which had not begun. The locks are now kept until the tests end.

--- a/test/_lib/startGatewayFleet/index.ts
+++ b/test/_lib/startGatewayFleet/index.ts
@@ -29,6 +29,7 @@
   readonly #directory = mkdtempSync(join(tmpdir(), 'registry-'))
   readonly #gatewayLifecycle = new LifecycleManager()
   #ports!: number[]
+  #releasePorts!: () => void
   #nextDisk = 0
   url = ''
   readyUrl = ''
@@ -37,7 +38,7 @@
     const fleet = new GatewayFleet()
     const reserved = await reservePorts(3)
     fleet.#ports = reserved.ports
-    reserved.release()
+    fleet.#releasePorts = reserved.release
     const seeds = Array.from({ length: registries }, (_, i) => `127.0.0.${i + 1}`)
     await Promise.all(seeds.map(host => fleet.startRegistry(host, { seeds, mayForm: true })))
     await fleet.#startGateway(seeds)
@@ -86,6 +87,7 @@
       server.closeAllConnections()
       server.close()
     }
+    this.#releasePorts()
     rmSync(this.#directory, { recursive: true, force: true })
   }
 
