Report a router with more work than processor time as not ready

Ruled out: descriptors (1,364 of 4,100) and memory (70 of 250 MB); the loss of all registry replicas at 5 s, which ended at 21 s.

--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -18,6 +18,7 @@
 import type { Metrics } from '../../telemetry/Metrics'
 import type { PartLogger } from '../../telemetry/PartLogger'
 import type { Tracer } from '../../telemetry/Tracer'
+import { EventLoopMonitor } from '../_lib/EventLoopMonitor'
 import { FleetFollower } from '../_lib/FleetFollower'
 import { GracefulStop } from '../_lib/GracefulStop'
 import { sendMetrics } from '../sendMetrics'
@@ -53,7 +54,7 @@
  *
  * @description
  * The router is ready once it knows a route document and the list of targets. It keeps both while the registry is out
- * of reach, and then reads the list itself.
+ * of reach, and then reads the list itself. A router with more work than processor time says that it is not ready.
  *
  * @param settings - Checked settings of the process.
  * @param options - Codecs, source of the list, logger, metrics, tracer and lifecycle manager.
@@ -126,7 +127,10 @@
   })
   reader.start()
   lifecycle.register('list of targets', () => reader.close())
-  const isReady = (): boolean => table !== undefined && isListKnown && !stop.isStopping
+  const monitor = new EventLoopMonitor(logger)
+  monitor.start()
+  lifecycle.register('event loop monitor', () => monitor.close())
+  const isReady = (): boolean => table !== undefined && isListKnown && !stop.isStopping && !monitor.isOverloaded
   const ready = await startHttpServer(settings.ready, [
     { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(isReady() ? 200 : 503).end() } },
     { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) }
