Give elections time for votes that are slow to become durable

Cause: test/delivery.test.ts failed with "the change of /teams/t: timed out after 20 s" on this machine's disk, which at times takes 46 to 80 ms a sync (0.05 ms otherwise; measured with 200 syncs of 200 bytes); with the test's files in memory it passes in 1.9 s. With several groups of three replicas on one disk, votes took longer to sync than the election timeout of 300 to 600 ms, which ran from before the sync: every candidate gave up before its votes came back. Ruled out: the bundle's libraries (the test failed without their change too) and other load (it failed with the machine idle). Change: a replica records how long its votes take to sync and waits three times that much longer, at most 3 s, counted from the end of the sync; a vote in a new term is saved once instead of twice.

--- a/src/log/LogTask/index.ts
+++ b/src/log/LogTask/index.ts
@@ -5,6 +5,7 @@
 import type { ReplicaMessage } from '../../contract/ReplicaMessage'
 import { cborCodec } from '../_lib/cborCodec'
 import { DiskQueue } from '../_lib/DiskQueue'
+import { measureMs } from '../_lib/measureMs'
 import { PendingResult } from '../_lib/PendingResult'
 import { Proposals } from '../_lib/Proposals'
 import { resolveInstance } from '../_lib/resolveInstance'
@@ -212,7 +213,7 @@
 
   #runEffect (effect: ReplicaEffect): Promise<void> | undefined {
     switch (effect.type) {
-      case 'saveVote': return this.#options.storage.saveVote(effect.vote)
+      case 'saveVote': return measureMs(() => this.#options.storage.saveVote(effect.vote)).then(durationMs => this.#core.recordVoteSync(durationMs, performance.now()))
       case 'installSnapshot': return this.#installSnapshot(effect.snapshot)
       case 'append': this.#queue.append(effect.sequence, effect.entries); break
       case 'send': this.#options.transport.send(effect.message); break
--- a/src/log/LogTask/test.ts
+++ b/src/log/LogTask/test.ts
@@ -21,15 +21,26 @@
   while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
 }
 
+/** Makes each sync of a vote as slow as on a disk that is busy or throttled. */
+function delayVotes (storage: LogStorage, delayMs: number): void {
+  const saveVote = storage.saveVote.bind(storage)
+  storage.saveVote = async vote => {
+    await new Promise(resolve => setTimeout(resolve, delayMs))
+    await saveVote(vote)
+  }
+}
+
 /** Three replicas in this process, on file systems in memory. */
-async function startReplicas () {
+async function startReplicas ({ voteSyncMs = 0 } = {}) {
   const names = ['c1', 'c2', 'c3']
   const replicas: Array<{ log: LogTask, machine: ListMachine, fileSystem: MemoryFileSystem, errors: AppError[] }> = []
   for (const name of names) {
     const [fileSystem, machine, errors] = [new MemoryFileSystem(), new ListMachine(), [] as AppError[]]
     const find = (id: string) => replicas[names.indexOf(id.split(':')[0])].log
+    const storage = await LogStorage.open({ fileSystem, directory: '/data/settings', instance: name })
+    if (voteSyncMs > 0) delayVotes(storage, voteSyncMs)
     const log = new LogTask({
-      storage: await LogStorage.open({ fileSystem, directory: '/data/settings', instance: name }),
+      storage,
       machine,
       transport: {
         send: message => setImmediate(() => find(message.to).handleMessage(message)),
@@ -49,6 +60,15 @@
 }
 
 describe('LogTask', () => {
+  // Guards against elections without end: on a throttled disk each candidate's time ran out before the votes were on the disks.
+  it('elects a leader although a vote takes longer to sync than the election timeout', async () => {
+    const startedAtMs = performance.now()
+    const { replicas, followers: [follower] } = await startReplicas({ voteSyncMs: 700 })
+    expect(await follower.log.propose('a', { timeoutMs: 15_000 })).toEqual({ count: 1 })
+    expect(performance.now() - startedAtMs).toBeLessThan(15_000)
+    await Promise.all(replicas.map(({ log }) => log.close()))
+  })
+
   it('forwards proposals and reads from a follower to the leader, and reads see what was accepted before', async () => {
     const { replicas, followers: [follower] } = await startReplicas()
     const results = await Promise.all(Array.from({ length: 30 }, (_, i) => follower.log.propose({ i })))
--- a/src/log/ReplicaCore/index.ts
+++ b/src/log/ReplicaCore/index.ts
@@ -13,6 +13,11 @@
 import type { ReplicaEffect } from '../ReplicaEffect'
 import type { ReplicaRole } from '../ReplicaRole'
 
+/** In an election the candidate and then the others make a vote durable; a candidate whose term was outbid does so again. */
+const VOTE_SYNCS_PER_ELECTION = 3
+/** Share of a slow sync that is still expected after the next, faster one. */
+const VOTE_SYNC_DECAY = 0.8
+
 type Effects = Generator<ReplicaEffect, void>
 type Message<T extends ReplicaMessage['type']> = Extract<ReplicaMessage, { type: T }>
 
@@ -42,6 +47,8 @@
   #votes = new Set<string>()
   #electionMs: number
   #leaderContactMs = -Infinity
+  /** How long a vote took to become durable of late. */
+  #voteSyncMs = 0
 
   constructor (options: ReplicaCoreOptions) {
     this.#options = options
@@ -145,9 +152,15 @@
     this.#data.log.truncateThrough(Math.min(offset, this.#data.commitOffset))
   }
 
+  /** Records how long a vote took to become durable. Elections are given more time on slow disks, or none would end. */
+  recordVoteSync (durationMs: number, nowMs: number): void {
+    this.#voteSyncMs = Math.min(timing.maxVoteSyncMs, Math.max(durationMs, this.#voteSyncMs * VOTE_SYNC_DECAY))
+    this.#electionMs = Math.max(this.#electionMs, nowMs + this.#computeElectionTimeout())
+  }
+
   #computeElectionTimeout (): number {
     const { minElectionTimeoutMs, maxElectionTimeoutMs } = timing
-    return minElectionTimeoutMs + this.#options.random() * (maxElectionTimeoutMs - minElectionTimeoutMs)
+    return VOTE_SYNCS_PER_ELECTION * this.#voteSyncMs + minElectionTimeoutMs + this.#options.random() * (maxElectionTimeoutMs - minElectionTimeoutMs)
   }
 
   #isSoleVoter (): boolean {
@@ -207,9 +220,9 @@
     yield * this.#setRole('follower', leader)
   }
 
-  * #acceptTerm (term: number, leader: string | undefined, nowMs: number): Effects {
+  * #acceptTerm (term: number, votedFor: string | undefined, leader: string | undefined, nowMs: number): Effects {
     this.#data.term = term
-    this.#data.votedFor = leader ?? null
+    this.#data.votedFor = votedFor ?? null
     this.#receiver.reset()
     yield this.#data.createSaveVote()
     yield * this.#stepDown(leader, nowMs)
@@ -226,11 +239,12 @@
   }
 
   * #handleVote (message: Message<'vote'>, nowMs: number): Effects {
-    if (message.term > this.#data.term && !this.#hasLiveLeader(nowMs)) yield * this.#acceptTerm(message.term, undefined, nowMs)
-    const { term, votedFor } = this.#data
+    const isNewTerm = message.term > this.#data.term && !this.#hasLiveLeader(nowMs)
+    const { term, votedFor } = isNewTerm ? { term: message.term, votedFor: null } : this.#data
     const isFree = votedFor === null || votedFor === message.from
     const isGranted = message.term === term && isFree && this.#isLogCurrent(message)
-    if (isGranted && votedFor === null) {
+    if (isNewTerm) yield * this.#acceptTerm(term, isGranted ? message.from : undefined, undefined, nowMs)
+    else if (isGranted && votedFor === null) {
       this.#data.votedFor = message.from
       yield this.#data.createSaveVote()
     }
@@ -241,7 +255,7 @@
   * #handleVoteReply (message: Message<'preVoteReply' | 'voteReply'>, nowMs: number): Effects {
     const isPreVote = message.type === 'preVoteReply'
     if (!message.isGranted) {
-      if (message.term > this.#data.term) yield * this.#acceptTerm(message.term, undefined, nowMs)
+      if (message.term > this.#data.term) yield * this.#acceptTerm(message.term, undefined, undefined, nowMs)
       return
     }
     const isExpected = isPreVote
@@ -258,7 +272,7 @@
       yield this.#receiver.createRefusal(message.from)
       return
     }
-    if (message.term > this.#data.term) yield * this.#acceptTerm(message.term, message.from, nowMs)
+    if (message.term > this.#data.term) yield * this.#acceptTerm(message.term, message.from, message.from, nowMs)
     if (this.#leader !== message.from) yield * this.#stepDown(message.from, nowMs)
     this.#leaderContactMs = nowMs
     this.#electionMs = nowMs + this.#computeElectionTimeout()
@@ -267,7 +281,7 @@
   }
 
   * #handleAppendReply (message: Message<'appendReply'>, nowMs: number): Effects {
-    if (message.term > this.#data.term) return yield * this.#acceptTerm(message.term, undefined, nowMs)
+    if (message.term > this.#data.term) return yield * this.#acceptTerm(message.term, undefined, undefined, nowMs)
     if (message.term === this.#data.term && this.#leading) yield * this.#leading.handleReply(message, nowMs)
   }
 }
--- a/src/log/_lib/timing/index.ts
+++ b/src/log/_lib/timing/index.ts
@@ -2,6 +2,8 @@
 export const timing = {
   minElectionTimeoutMs: 300,
   maxElectionTimeoutMs: 600,
+  /** Elections wait no longer than this for a vote to become durable, so that one stall doesn't delay later ones for long. */
+  maxVoteSyncMs: 1_000,
   heartbeatMs: 75,
   probeMs: 100,
   /** A replica that is no voter and hears from no leader for this time asks to be added again. */
