Judge overload by busy turns of the event loop, and let kept callers go elsewhere

Each delay counted at most 500 ms of a window of 2 s that held one sample. Ruled out: a stuck listener (it accepts between the turns) and a pause (utilization 1). Change: time in busy, late turns is summed, told from pauses by the utilization of the event loop; after 2.5 s, when the load balancer has noticed, answers close their connections.

--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -1,41 +1,61 @@
-/** Time over which the delays are judged. */
+/** Time over which the work of the event loop is judged. */
 const WINDOW_MS = 2_000
-/** A longer delay is more likely a paused process than load, and must not decide alone. */
-const MAX_DELAY_MS = 500
-/** Share of the window spent waiting for the event loop at which new callers are served sooner elsewhere. */
-const OVERLOAD_SHARE = 0.5
-const RECOVERY_SHARE = 0.1
+/** A loop that waits for input less than this is busy; one that was paused from outside isn't. */
+const BUSY_UTILIZATION = 0.9
+/** A busy loop that is later than this with a timer makes callers wait. */
+const LATE_MS = 30
+const OVERLOAD_MS = 1_000
+const RECOVERY_MS = 200
+/** After this time the load balancer sends new connections elsewhere: it asks once a second, and twice before it acts. */
+const UNREADY_NOTICED_MS = 2_500
+
+interface LoopSample {
+  /** Time since the sample before. */
+  intervalMs: number
+  /** How much later than planned the timer ran. */
+  delayMs: number
+  /** Part of the interval in which the event loop did not wait for input, 0 to 1. */
+  utilization: number
+}
 
 /**
  * @name OverloadDetector
  * @category Gateway
- * @summary Tells from delays of the event loop whether this router has more work than processor time.
+ * @summary Tells from the event loop whether this router has more work than processor time.
  *
  * @description
- * Answers the load of one caller whose requests all reach one router: its queue of connections grows until callers give
- * up before they are accepted, while the routers next to it are idle. A router that says it is not ready gets no new
- * connections, and keeps those that it can serve.
+ * Answers the load of one caller whose requests all reach one router: one turn of the event loop takes seconds, in
+ * which no connection is accepted, while the routers next to it are idle. A router that says it is not ready gets no
+ * new connections; once that has been noticed, it closes kept ones with their answers, so that their callers go
+ * elsewhere too.
  *
  * @example
  * const detector = new OverloadDetector()
- * detector.addDelay(300, performance.now())
- * detector.isOverloaded // false: one delay alone doesn't decide
+ * detector.addSample({ intervalMs: 1_300, delayMs: 1_200, utilization: 1 }, performance.now()) // true: the state changed
+ * detector.isOverloaded // true
  */
 export class OverloadDetector {
-  readonly #delays: Array<{ atMs: number, delayMs: number }> = []
-  #isOverloaded = false
+  readonly #samples: Array<{ atMs: number, lateMs: number }> = []
+  #sinceMs: number | undefined
 
   get isOverloaded (): boolean {
-    return this.#isOverloaded
+    return this.#sinceMs !== undefined
+  }
+
+  /** Whether callers that connect again reach another router. */
+  isNoticed (nowMs: number): boolean {
+    return this.#sinceMs !== undefined && nowMs - this.#sinceMs > UNREADY_NOTICED_MS
   }
 
-  /** Records how much later than planned a timer ran. Returns whether the state changed. */
-  addDelay (delayMs: number, nowMs: number): boolean {
-    this.#delays.push({ atMs: nowMs, delayMs: Math.min(delayMs, MAX_DELAY_MS) })
-    while (nowMs - this.#delays[0].atMs > WINDOW_MS) this.#delays.shift()
-    const share = this.#delays.reduce((sum, delay) => sum + delay.delayMs, 0) / WINDOW_MS
-    const before = this.#isOverloaded
-    this.#isOverloaded = share > (before ? RECOVERY_SHARE : OVERLOAD_SHARE)
-    return this.#isOverloaded !== before
+  /** Returns whether the state changed. */
+  addSample ({ intervalMs, delayMs, utilization }: LoopSample, nowMs: number): boolean {
+    const isLate = utilization > BUSY_UTILIZATION && delayMs > LATE_MS
+    this.#samples.push({ atMs: nowMs, lateMs: isLate ? intervalMs : 0 })
+    while (nowMs - this.#samples[0].atMs > WINDOW_MS) this.#samples.shift()
+    const lateMs = this.#samples.reduce((sum, sample) => sum + sample.lateMs, 0)
+    const before = this.isOverloaded
+    const isOverloaded = lateMs > (before ? RECOVERY_MS : OVERLOAD_MS)
+    if (isOverloaded !== before) this.#sinceMs = isOverloaded ? nowMs : undefined
+    return isOverloaded !== before
   }
 }
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -1,12 +1,15 @@
+import type { Server, ServerResponse } from 'node:http'
 import { OverloadDetector } from '../../../gateway/OverloadDetector'
 import type { PartLogger } from '../../../telemetry/PartLogger'
 
 const SAMPLE_INTERVAL_MS = 100
 
-/** Watches the delay of the event loop from its start until it is closed. */
+/** Watches the event loop from its start until it is closed, and sheds callers of a server while it is overloaded. */
 export class EventLoopMonitor {
   readonly #detector = new OverloadDetector()
   readonly #logger: PartLogger
+  #utilization = performance.eventLoopUtilization()
+  #sampledAtMs = performance.now()
   #timer: NodeJS.Timeout | undefined
 
   constructor (logger: PartLogger) {
@@ -18,20 +21,32 @@
   }
 
   start (): void {
-    const plannedMs = performance.now() + SAMPLE_INTERVAL_MS
+    this.#sampledAtMs = performance.now()
     this.#timer = setTimeout(() => {
-      this.#addSample(performance.now() - plannedMs)
+      this.#addSample()
       this.start()
     }, SAMPLE_INTERVAL_MS)
   }
 
+  /** Closes the connections of callers with their answers, once they would reach another router. */
+  watch (server: Server): void {
+    server.prependListener('request', (_request, response: ServerResponse) => {
+      if (this.#detector.isNoticed(performance.now())) response.setHeader('connection', 'close')
+    })
+  }
+
   close (): void {
     clearTimeout(this.#timer)
   }
 
-  #addSample (delayMs: number): void {
-    if (!this.#detector.addDelay(delayMs, performance.now())) return
-    if (this.#detector.isOverloaded) this.#logger.warn('The router is overloaded; it asks for no new connections.', { delayMs: Math.round(delayMs) })
-    else this.#logger.info('The router has processor time again.')
+  #addSample (): void {
+    const nowMs = performance.now()
+    const intervalMs = nowMs - this.#sampledAtMs
+    const newest = performance.eventLoopUtilization()
+    const { utilization } = performance.eventLoopUtilization(newest, this.#utilization)
+    this.#utilization = newest
+    if (!this.#detector.addSample({ intervalMs, delayMs: intervalMs - SAMPLE_INTERVAL_MS, utilization }, nowMs)) return
+    if (this.#detector.isOverloaded) this.#logger.error('The router is overloaded; it asks for no new connections.', { turnMs: Math.round(intervalMs) })
+    else this.#logger.warn('The router has processor time again.')
   }
 }
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -129,6 +129,7 @@
   lifecycle.register('list of targets', () => reader.close())
   const monitor = new EventLoopMonitor(logger)
   monitor.start()
+  monitor.watch(front.server)
   lifecycle.register('event loop monitor', () => monitor.close())
   const isReady = (): boolean => table !== undefined && isListKnown && !stop.isStopping && !monitor.isOverloaded
   const ready = await startHttpServer(settings.ready, [
