--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -40,6 +40,7 @@
   readonly #timer: NodeJS.Timeout
   #scheduler!: PromptScheduler
   #queue!: PlacementQueue
+  readonly #verdicts = { place: 0, refuse: 0, none: 0 }
   #targets: readonly TargetEntry[] = []
   #nextPrefix = 1
 
@@ -64,6 +65,11 @@
     ])
   }
 
+  getCounts (): { waiting: number, running: number, verdicts: Readonly<Record<PlacementVerdict['type'], number>> } {
+    const { waitingCount, runningCount } = this.#scheduler
+    return { waiting: waitingCount, running: runningCount, verdicts: this.#verdicts }
+  }
+
   setTargets (entries: readonly TargetEntry[]): void {
     this.#targets = entries
     this.#scheduler.setTargets(entries)
@@ -92,8 +98,9 @@
     const startedAtMs = performance.now()
     const verdict = await this.#queue.request(this.#createGlobal(request, link))
     const { callId: requestId, account, objectiveMs } = request
-    const { waitingCount, runningCount } = this.#scheduler
-    this.#options.logger.info('A prompt was decided on.', { requestId, router: link.peer.instance, account, objectiveMs: Math.round(objectiveMs), ...convertTimes(verdict), queuedMs: Math.round(performance.now() - startedAtMs), waiting: waitingCount, running: runningCount, listAgeMs: Math.round(this.#options.getListAgeMs()) })
+    this.#verdicts[verdict.type]++
+    const { waiting, running } = this.getCounts()
+    this.#options.logger.info('A prompt was decided on.', { requestId, router: link.peer.instance, account, objectiveMs: Math.round(objectiveMs), ...convertTimes(verdict), queuedMs: Math.round(performance.now() - startedAtMs), waiting, running, listAgeMs: Math.round(this.#options.getListAgeMs()) })
     return verdict
   }
 
--- /dev/null
+++ b/src/instance/registerRegistryReadings/index.ts
@@ -0,0 +1,43 @@
+import type { LogStatus } from '../../log/LogStatus'
+import type { Metrics } from '../../telemetry/Metrics'
+
+interface RegistryState {
+  getStatus: () => LogStatus
+  /** Version of the route document in force, 0 if there is none. */
+  getVersion: () => number
+  /** Age of the list of targets in milliseconds; Infinity while this replica doesn't read it. */
+  getListAgeMs: () => number
+  /** Prompts that wait and run, and verdicts by their type since the start. */
+  getPlacements: () => { waiting: number, running: number, verdicts: Readonly<Record<string, number>> }
+}
+
+const MS_PER_S = 1_000
+
+/**
+ * @name registerRegistryReadings
+ * @category Instance
+ * @summary Registers the state of a registry replica and of its scheduler as metrics.
+ *
+ * @param metrics - Where to register them.
+ * @param state - Functions that read the state.
+ *
+ * @example
+ * registerRegistryReadings(metrics, state)
+ */
+export function registerRegistryReadings (metrics: Metrics, { getStatus, getVersion, getListAgeMs, getPlacements }: RegistryState): void {
+  const register = (name: string, help: string, read: () => number): void => metrics.registerReading({ name, help, read: () => [{ value: read() }] })
+  register('registry_is_leader', '1 if this replica leads the log.', () => Number(getStatus().role === 'leader'))
+  register('registry_term', 'Term of the log.', () => getStatus().term)
+  register('registry_commit_offset', 'Newest committed offset of the log.', () => getStatus().commitOffset)
+  register('registry_voters', 'Voters of the log.', () => getStatus().members.filter(({ kind }) => kind === 'voter').length)
+  register('registry_document_version', 'Version of the route document in force.', getVersion)
+  register('registry_list_age_seconds', 'Age of the list of targets; infinite at a replica that does not lead.', () => getListAgeMs() / MS_PER_S)
+  register('scheduler_waiting', 'Prompts that wait for a verdict.', () => getPlacements().waiting)
+  register('scheduler_running', 'Prompts that were placed and have not ended.', () => getPlacements().running)
+  metrics.registerReading({
+    name: 'scheduler_verdicts_total',
+    help: 'Verdicts on prompts.',
+    labels: ['verdict'],
+    read: () => Object.entries(getPlacements().verdicts).map(([verdict, value]) => ({ labels: { verdict }, value }))
+  })
+}
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -16,10 +16,12 @@
 import { TargetListReader } from '../../routing/TargetListReader'
 import type { TargetSource } from '../../routing/TargetSource'
 import type { LogStatus } from '../../log/LogStatus'
+import type { Metrics } from '../../telemetry/Metrics'
 import type { PartLogger } from '../../telemetry/PartLogger'
 import { ControlLogs } from '../_lib/ControlLogs'
 import { FleetWatchers } from '../_lib/FleetWatchers'
 import { PlacementService } from '../_lib/PlacementService'
+import { registerRegistryReadings } from '../registerRegistryReadings'
 
 /** How often the leader reads the list of targets; the list itself lags by most of a second. */
 const LIST_INTERVAL_MS = 500
@@ -30,6 +32,7 @@
   codec: DocumentCodec
   source: TargetSource
   logger: PartLogger
+  metrics: Metrics
   lifecycle: LifecycleManager
 }
 
@@ -54,15 +57,15 @@
  * load reports; both are soft state that a new leader has again within a second.
  *
  * @param settings - Checked settings of the process.
- * @param options - Codec of the documents, source of the list, logger and lifecycle manager.
+ * @param options - Codec of the documents, source of the list, logger, metrics and lifecycle manager.
  * @returns Functions for the operator API.
  * @throws AppError `log-corrupted` or `disk-failed`; Error if an address can't be bound.
  *
  * @example
- * const registry = await startRegistry(settings, { codec, source, logger, lifecycle })
+ * const registry = await startRegistry(settings, { codec, source, logger, metrics, lifecycle })
  * await registry.replaceDocument(content)
  */
-export async function startRegistry (settings: RegistrySettings, { codec, source, logger, lifecycle }: StartRegistryOptions): Promise<RunningRegistry> {
+export async function startRegistry (settings: RegistrySettings, { codec, source, logger, metrics, lifecycle }: StartRegistryOptions): Promise<RunningRegistry> {
   let document: RouteDocument | undefined
   const table: DocumentTable = new DocumentTable(() => {
     document = table.document && codec.decode(table.document.content)
@@ -70,7 +73,7 @@
     watchers.notify()
   })
   const logs = await openLogs(settings, table, { logger, onRoleChanged: role => { if (role !== 'leader') placement.reset() } })
-  const placement = new PlacementService({ isLeader: () => isLeader(), logger, getListAgeMs: () => performance.now() - reader.readAtMs, getMemoryTokens: name => document?.services.find(service => service.name === name)?.engine?.memoryTokens })
+  const placement = new PlacementService({ isLeader: () => isLeader(), logger, getListAgeMs: () => getListAgeMs(), getMemoryTokens: name => document?.services.find(service => service.name === name)?.engine?.memoryTokens })
   lifecycle.register('placement', () => placement.close())
   const isLeader = (): boolean => getStatus(logs).role === 'leader'
   const reader = new TargetListReader({
@@ -84,6 +87,8 @@
     },
     onError: error => logger.warn('The list of targets can not be read.', { reason: String(error) })
   })
+  const getListAgeMs = (): number => performance.now() - reader.readAtMs
+  registerRegistryReadings(metrics, { getStatus: () => getStatus(logs), getVersion: () => table.version, getListAgeMs, getPlacements: () => placement.getCounts() })
   const watchers = new FleetWatchers({ getView: request => createView(request, { logs, table, reader }) })
   const loads = new LoadTable()
   const handlers = new Map<string, MessageHandler>([
--- a/test/_lib/startGatewayFleet/index.ts
+++ b/test/_lib/startGatewayFleet/index.ts
@@ -53,7 +53,7 @@
     const settings = RegistrySettings.parse({
       instance: `c${host}`, host, zone: 'z1', http: `${host}:0`, linkPort: this.#ports[0], seeds: seeds.map(seed => `${seed}:1`), list: '127.0.0.1:1', mayForm, dataDir: join(this.#directory, disk), clusterKey: CLUSTER_KEY
     })
-    const running = await startRegistry(settings, { codec: plainCodecs.documents, source: { list: async () => this.targets }, logger: this.#createLogger(), lifecycle })
+    const running = await startRegistry(settings, { codec: plainCodecs.documents, source: { list: async () => this.targets }, logger: this.#createLogger(), metrics: new PrometheusMetrics({ instance: host, zone: 'z1' }), lifecycle })
     const registry = { ...running, host, stop: () => lifecycle.close() }
     this.registries.push(registry)
     return registry
