--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -36,6 +36,8 @@
 const MIN_CONNECTIONS = 4
 const DEFAULT_MAX_CONNECTIONS = 100
 const RETRY_AFTER_S = 0.5
+/** The next attempt reaches another router, which has time at once. */
+const SHED_RETRY_AFTER_S = 0.05
 const DEFAULT_OBJECTIVE_MS = 600
 const RESUME_OBJECTIVE_MS = 5_000
 
@@ -81,10 +83,11 @@
   }
 
   async #admit (): Promise<AdmittedCall> {
-    const { getTable, budget } = this.#context
+    const { getTable, budget, isShedding } = this.#context
     const facts = this.#facts
     const table = getTable()
     if (!table) throw new AppError('control-unavailable', 'No route document is known yet.', { retryAfterS: RETRY_AFTER_S })
+    if (isShedding()) throw new AppError('no-target', 'The request has not run: this router is overloaded.', { retryAfterS: SHED_RETRY_AFTER_S })
     const route = table.findRoute(this.#request.headers.host ?? '', this.#request.url ?? '/')
     if (!route) throw new AppError('not-found', 'No route leads there.')
     const account = facts.key === undefined ? undefined : table.findAccount(facts.key)
--- a/src/gateway/GatewayContext/index.ts
+++ b/src/gateway/GatewayContext/index.ts
@@ -32,6 +32,8 @@
   /** Places calls to other services. */
   placer: Placer
   loads: TargetLoads
+  /** Whether this router has more calls than processor time at this moment. */
+  isShedding: () => boolean
   connections: TargetConnections
   budget: FleetRetryBudget
   logger: PartLogger
--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -6,6 +6,8 @@
 const LATE_MS = 30
 const OVERLOAD_MS = 1_000
 const RECOVERY_MS = 200
+/** Calls that arrive in a turn which is late by this much have waited as long unseen, and others wait behind them. */
+const SHED_LATE_MS = 100
 /** After this time the load balancer sends new connections elsewhere: it asks once a second, and twice before it acts. */
 const UNREADY_NOTICED_MS = 2_500
 
@@ -27,7 +29,7 @@
  * Answers the load of one caller whose requests all reach one router: one turn of the event loop takes seconds, in
  * which no connection is accepted, while the routers next to it are idle. A router that says it is not ready gets no
  * new connections; once that has been noticed, it closes kept ones with their answers, so that their callers go
- * elsewhere too.
+ * elsewhere too. Calls beyond what a turn can take are refused as not run, so that a retry finds a router with time.
  *
  * @example
  * const detector = new OverloadDetector()
@@ -37,6 +39,7 @@
 export class OverloadDetector {
   readonly #samples: Array<{ atMs: number, lateMs: number }> = []
   #sinceMs: number | undefined
+  #isBusy = false
 
   get isOverloaded (): boolean {
     return this.#sinceMs !== undefined
@@ -47,9 +50,15 @@
     return this.#sinceMs !== undefined && nowMs - this.#sinceMs > UNREADY_NOTICED_MS
   }
 
+  /** Whether a new call should go to another router at once, given how late the next sample is by now. */
+  isShedding (lateMs: number): boolean {
+    return this.#isBusy && lateMs > SHED_LATE_MS
+  }
+
   /** Returns whether the state changed. */
   addSample ({ intervalMs, delayMs, utilization }: LoopSample, nowMs: number): boolean {
-    const isLate = utilization > BUSY_UTILIZATION && delayMs > LATE_MS
+    this.#isBusy = utilization > BUSY_UTILIZATION
+    const isLate = this.#isBusy && delayMs > LATE_MS
     this.#samples.push({ atMs: nowMs, lateMs: isLate ? intervalMs : 0 })
     while (nowMs - this.#samples[0].atMs > WINDOW_MS) this.#samples.shift()
     const lateMs = this.#samples.reduce((sum, sample) => sum + sample.lateMs, 0)
--- a/src/gateway/OverloadDetector/test.ts
+++ b/src/gateway/OverloadDetector/test.ts
@@ -45,6 +45,16 @@
     expect(detector.isOverloaded).toBe(false)
   })
 
+  // Guards against calls that wait unseen behind hundreds of others in one turn, and are late wherever they go then.
+  it('sheds calls in a turn that takes too long, until a turn is short again', () => {
+    const detector = new OverloadDetector()
+    expect(detector.isShedding(500)).toBe(false)
+    detector.addSample({ intervalMs: 400, delayMs: 300, utilization: 1 }, 400)
+    expect([detector.isShedding(20), detector.isShedding(150)]).toEqual([false, true])
+    detector.addSample({ intervalMs: 100, delayMs: 0, utilization: 0.4 }, 500)
+    expect(detector.isShedding(150)).toBe(false)
+  })
+
   // Guards against connections that are closed although their callers would come straight back.
   it('tells when the load balancer has noticed', () => {
     const detector = new OverloadDetector()
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -20,6 +20,11 @@
     return this.#detector.isOverloaded
   }
 
+  /** Whether a call that arrives now should be refused, because a turn of the event loop takes too long already. */
+  isShedding (): boolean {
+    return this.#detector.isShedding(performance.now() - this.#sampledAtMs - SAMPLE_INTERVAL_MS)
+  }
+
   start (): void {
     this.#sampledAtMs = performance.now()
     this.#timer = setTimeout(() => {
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -92,11 +92,15 @@
     logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
   }
   const stop = new GracefulStop({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - STOP_MARGIN_MS, countDetached: () => 0 })
-  const context = { codec: options.calls, getTable: () => table, zone: settings.zone, findTarget, placements, placer, loads, connections, budget: new FleetRetryBudget(settings.retries), logger, metrics, tracer: options.tracer }
+  const monitor = new EventLoopMonitor(logger)
+  monitor.start()
+  lifecycle.register('event loop monitor', () => monitor.close())
+  const context = { isShedding: () => monitor.isShedding(), codec: options.calls, getTable: () => table, zone: settings.zone, findTarget, placements, placer, loads, connections, budget: new FleetRetryBudget(settings.retries), logger, metrics, tracer: options.tracer }
   const front = await startHttpServer(settings.front, [
     { method: 'all', path: '*', handler: (request, response) => new GatewayCall(request, response, context).run() }
   ])
   front.server.requestTimeout = 0
+  monitor.watch(front.server)
   const handleDocument = ({ version, content }: StoredDocument): void => {
     table = new RouteTable(options.documents.decode(content))
     const { headerTimeoutMs, idleTimeoutMs } = table.document.limits
@@ -127,10 +131,6 @@
   })
   reader.start()
   lifecycle.register('list of targets', () => reader.close())
-  const monitor = new EventLoopMonitor(logger)
-  monitor.start()
-  monitor.watch(front.server)
-  lifecycle.register('event loop monitor', () => monitor.close())
   const isReady = (): boolean => table !== undefined && isListKnown && !stop.isStopping && !monitor.isOverloaded
   const ready = await startHttpServer(settings.ready, [
     { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(isReady() ? 200 : 503).end() } },
