Split the start of a router into the directory of targets, readiness, follower and fallback reader

Change: TargetDirectory (with tests), startReadiness, createFollower, createFallbackReader; no change in behaviour.

--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -6,12 +6,14 @@
 import type { StoredDocument } from '../../contract/StoredDocument'
 import type { TargetEntry } from '../../contract/TargetEntry'
 import { GatewayCall } from '../../gateway/GatewayCall'
+import type { GatewayContext } from '../../gateway/GatewayContext'
 import { PlacementClient } from '../../gateway/PlacementClient'
 import { Placer } from '../../gateway/Placer'
 import { TargetConnections } from '../../gateway/TargetConnections'
 import type { LifecycleManager } from '../../lifecycle/LifecycleManager'
 import { FleetRetryBudget } from '../../routing/FleetRetryBudget'
 import { RouteTable } from '../../routing/RouteTable'
+import { TargetDirectory } from '../../routing/TargetDirectory'
 import { TargetListReader } from '../../routing/TargetListReader'
 import { TargetLoads } from '../../routing/TargetLoads'
 import type { TargetSource } from '../../routing/TargetSource'
@@ -21,7 +23,7 @@
 import { EventLoopMonitor } from '../_lib/EventLoopMonitor'
 import { FleetFollower } from '../_lib/FleetFollower'
 import { GracefulStop } from '../_lib/GracefulStop'
-import { sendMetrics } from '../sendMetrics'
+import { startReadiness } from '../_lib/startReadiness'
 import { startHttpServer } from '../startHttpServer'
 
 interface StartGatewayOptions {
@@ -67,12 +69,9 @@
 export async function startGateway (settings: GatewaySettings, options: StartGatewayOptions): Promise<RunningGateway> {
   const { logger, lifecycle, metrics } = options
   let table: RouteTable | undefined
-  let targets: readonly TargetEntry[] = []
-  let isListKnown = false
+  const directory = new TargetDirectory()
   const loads = new TargetLoads()
-  const findTarget = (id: string): TargetEntry | undefined => targets.find(entry => entry.id === id && !entry.isDraining)
-  const listTargets = (service: string): TargetEntry[] => targets.filter(entry => entry.service === service && !entry.isDraining)
-  const placer = new Placer({ zone: settings.zone, loads, listTargets, random: Math.random })
+  const placer = new Placer({ zone: settings.zone, loads, listTargets: service => directory.list(service), random: Math.random })
   const placements = new PlacementClient({
     getLink: () => follower.leaderLink,
     getMemoryTokens: service => table?.findService(service)?.engine?.memoryTokens,
@@ -82,20 +81,22 @@
   lifecycle.register('placements', () => placements.close())
   const connections = new TargetConnections()
   lifecycle.register('target connections', () => connections.close())
-  const handleTargets = (entries: readonly TargetEntry[]): void => {
-    const isChanged = !isListKnown || JSON.stringify(entries) !== JSON.stringify(targets)
-    targets = entries
-    isListKnown = true
-    if (!isChanged) return
-    connections.closeOthers(entries)
-    placements.setTargets(entries)
-    logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
-  }
-  const stop = new GracefulStop({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - STOP_MARGIN_MS, countDetached: () => 0 })
   const monitor = new EventLoopMonitor(logger)
   monitor.start()
   lifecycle.register('event loop monitor', () => monitor.close())
-  const context = { isShedding: () => monitor.isShedding(), codec: options.calls, getTable: () => table, zone: settings.zone, findTarget, placements, placer, loads, connections, budget: new FleetRetryBudget(settings.retries), logger, metrics, tracer: options.tracer }
+  const context: GatewayContext = {
+    ...options,
+    codec: options.calls,
+    zone: settings.zone,
+    budget: new FleetRetryBudget(settings.retries),
+    getTable: () => table,
+    findTarget: id => directory.find(id),
+    isShedding: () => monitor.isShedding(),
+    placements,
+    placer,
+    loads,
+    connections
+  }
   const front = await startHttpServer(settings.front, [
     { method: 'all', path: '*', handler: (request, response) => new GatewayCall(request, response, context).run() }
   ])
@@ -108,37 +109,54 @@
     front.server.keepAliveTimeout = idleTimeoutMs
     logger.info('A route document is in force.', { version, routes: table.document.routes.length, accounts: table.document.accounts.length })
   }
+  const handleTargets = (entries: readonly TargetEntry[]): void => {
+    if (!directory.replace(entries)) return
+    connections.closeOthers(entries)
+    placements.setTargets(entries)
+    logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
+  }
+  const follower = createFollower(settings, { logger, loads, onDocument: handleDocument, onTargets: handleTargets })
+  follower.start()
+  lifecycle.register('registry', () => follower.close())
+  const reader = createFallbackReader(follower, { source: options.source, onRead: handleTargets, logger })
+  reader.start()
+  lifecycle.register('list of targets', () => reader.close())
+  const stop = new GracefulStop({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - STOP_MARGIN_MS, countDetached: () => 0 })
+  const isReady = (): boolean => table !== undefined && directory.isKnown && !stop.isStopping && !monitor.isOverloaded
+  await startReadiness(settings.ready, { isReady, metrics, lifecycle })
+  stop.watch(front.server)
+  lifecycle.register('callers', () => stop.close())
+  logger.info('Started.', { port: front.address.port })
+  return { addSeeds: hosts => follower.addReplicas(hosts) }
+}
+
+interface CreateFollowerOptions extends Pick<ConstructorParameters<typeof FleetFollower>[0], 'onDocument' | 'onTargets'> {
+  logger: PartLogger
+  loads: TargetLoads
+}
+
+function createFollower (settings: GatewaySettings, { logger, loads, onDocument, onTargets }: CreateFollowerOptions): FleetFollower {
   const identity: LinkIdentity = { instance: settings.instance.toLowerCase(), incarnation: randomUUID(), zone: settings.zone, role: 'router' }
-  const follower = new FleetFollower({
+  return new FleetFollower({
     seeds: settings.seeds.map(({ host }) => host),
     linkPort: settings.linkPort,
     linkOptions: { identity, clusterKey: settings.clusterKey, handlers: new Map(), onError: error => logger.warn('A connection was closed.', { kind: error.kind, reason: error.message }) },
     logger,
-    onDocument: handleDocument,
-    onTargets: handleTargets,
+    onDocument,
+    onTargets,
     createReport: () => ({ targets: loads.createReport() }),
     onSummary: summary => loads.setOthers(summary, performance.now())
   })
-  follower.start()
-  lifecycle.register('registry', () => follower.close())
+}
+
+/** Reads the list of targets here while the registry's copy is too old. */
+function createFallbackReader (follower: FleetFollower, { source, onRead, logger }: { source: TargetSource, onRead: (entries: readonly TargetEntry[]) => void, logger: PartLogger }): TargetListReader {
   const startedAtMs = performance.now()
-  const reader = new TargetListReader({
-    source: options.source,
+  return new TargetListReader({
+    source,
     intervalMs: LIST_INTERVAL_MS,
     isNeeded: () => performance.now() - Math.max(startedAtMs, follower.targetsReadAtMs) > LIST_STALE_MS,
-    onRead: handleTargets,
+    onRead,
     onError: error => logger.warn('The list of targets can not be read.', { reason: String(error) })
   })
-  reader.start()
-  lifecycle.register('list of targets', () => reader.close())
-  const isReady = (): boolean => table !== undefined && isListKnown && !stop.isStopping && !monitor.isOverloaded
-  const ready = await startHttpServer(settings.ready, [
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(isReady() ? 200 : 503).end() } },
-    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) }
-  ])
-  lifecycle.register('readiness', () => { ready.server.close(); ready.server.closeAllConnections() })
-  stop.watch(front.server)
-  lifecycle.register('callers', () => stop.close())
-  logger.info('Started.', { port: front.address.port })
-  return { addSeeds: hosts => follower.addReplicas(hosts) }
 }
--- /dev/null
+++ b/src/routing/TargetDirectory/test.ts
@@ -0,0 +1,23 @@
+import { TargetDirectory } from '.'
+
+const createEntry = (id: string, isDraining = false) => ({ id, service: 's', host: '10.0.0.1', port: 1, zone: 'z', slots: 1, isDraining, warmupMs: 0 })
+
+describe('TargetDirectory', () => {
+  // Guards against new calls at a target that drains.
+  it('offers the targets of a service that do not drain', () => {
+    const directory = new TargetDirectory()
+    expect([directory.isKnown, directory.list('s')]).toEqual([false, []])
+    directory.replace([createEntry('t1'), createEntry('t2', true)])
+    expect(directory.list('s').map(({ id }) => id)).toEqual(['t1'])
+    expect([directory.find('t1')?.id, directory.find('t2'), directory.list('other')]).toEqual(['t1', undefined, []])
+  })
+
+  // Guards against an empty list that looks like one that was never read: the router would never be ready.
+  it('tells a first, a changed and an equal list apart', () => {
+    const directory = new TargetDirectory()
+    expect(directory.replace([])).toBe(true)
+    expect(directory.isKnown).toBe(true)
+    expect(directory.replace([])).toBe(false)
+    expect(directory.replace([createEntry('t1')])).toBe(true)
+  })
+})
