Keep the next room of an engine for waiting accounts that used less

Requests that arrived just as room appeared took it at once; those that waited were looked at every 15 ms only. Ruled out: the order of waiting requests itself (least use first, tested). Change: EngineHolds: a waiting prompt of at most 200 ms to read holds its engine against accounts with more than twice its use.

--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -6,6 +6,7 @@
 import { CircuitBreaker } from '../../target/CircuitBreaker'
 import { AccountUsage } from '../AccountUsage'
 import { computeCallCost } from '../computeCallCost'
+import { EngineHolds } from '../EngineHolds'
 import { EngineState } from '../EngineState'
 import { RendezvousOrder } from '../RendezvousOrder'
 import { TargetSpeeds } from '../TargetSpeeds'
@@ -58,6 +59,8 @@
 const RANK_MS = 4
 /** A new scheduler does not know what engines keep. For this time it takes the shared parts as kept where they belong, as its predecessor left them. */
 const LEARNING_MS = 8_000
+/** Room for a longer prompt empties an engine that others could use. */
+const HOLD_READ_MS = 200
 const MAX_CACHED_ORDERS = 4_096
 const RETRY_AFTER_S = 1.6
 const RETRY_AFTER_SPREAD_S = 0.8
@@ -71,7 +74,7 @@
  * Answers the load patterns of many users at once, of one account that sends many times its usual and of one prompt
  * that becomes hot. A prompt is placed only where its first event is predicted in time, given what each engine still
  * has to read; so engines never build up a backlog in which everything is late. Waiting requests go in the order of
- * the least recent use of their client accounts. Prompts stay where their shared parts are kept. Pure: times are
+ * the least recent use of their client accounts, and the next room of an engine is kept for them. Prompts stay where their shared parts are kept. Pure: times are
  * milliseconds of a monotonic clock.
  *
  * @param options - Memory of engines, share of the load that is placed here, random numbers, time of the start.
@@ -88,6 +91,7 @@
   readonly #speeds = new TargetSpeeds()
   readonly #circuits = new CircuitBreaker()
   readonly #engines = new Map<string, EngineState>()
+  readonly #holds = new EngineHolds()
   /** Large prompts that engines read at present. */
   readonly #largeReading = new Set<string>()
   readonly #waiting = new Map<string, Waiting>()
@@ -130,6 +134,7 @@
   * step (nowMs: number): Generator<[id: string, PlacementVerdict]> {
     const ordered = [...this.#waiting.values()].map(waiting => ({ waiting, use: this.#usage.get(waiting.request.account, nowMs) }))
     ordered.sort((a, b) => a.use - b.use || a.waiting.sinceMs - b.waiting.sinceMs)
+    this.#holds.clear()
     for (const { waiting } of ordered) {
       const verdict = this.#chooseVerdict(waiting, nowMs)
       if (!verdict) continue
@@ -147,7 +152,7 @@
 
   /** Notes what became of a call. */
   record (id: string, event: Event, nowMs: number): void {
-    this.#waiting.delete(id)
+    if (this.#waiting.delete(id) && this.#waiting.size === 0) this.#holds.clear()
     this.#largeReading.delete(id)
     const call = this.#running.get(id)
     if (!call) return
@@ -177,12 +182,17 @@
     if (options.length === 0) return { type: 'none' }
     const isLarge = Math.min(...options.map(({ usualReadMs }) => usualReadMs)) > LARGE_SHARE * request.objectiveMs
     const limits = { inTimeMs: request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_MS, waitMs: isLarge && this.#isLargeAllowed() ? LARGE_WAIT_MS : 0 }
-    const open = options.filter(option => hasRoom(option, limits) && option.engine.running < option.target.slots * this.#options.getShare())
-    const best = chooseBest(open)
+    const use = this.#usage.get(request.account, nowMs)
+    const free = options.filter(({ target, engine }) => engine.running < target.slots * this.#options.getShare() && this.#holds.isOpen(target.id, use))
+    const best = chooseBest(free.filter(option => hasRoom(option, limits)))
     if (best && isLarge) this.#largeReading.add(request.id)
     if (best) return this.#place(request, best, nowMs)
-    if (nowMs - sinceMs < PATIENCE_MS) return undefined
-    const { waitMs, readMs } = options.reduce((least, next) => next.waitMs + next.readMs < least.waitMs + least.readMs ? next : least)
+    if (nowMs - sinceMs < PATIENCE_MS) {
+      const soonest = free.length > 0 ? findSoonest(free) : undefined
+      if (soonest && soonest.readMs <= HOLD_READ_MS) this.#holds.add(soonest.target.id, use)
+      return undefined
+    }
+    const { waitMs, readMs } = findSoonest(options)
     return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random(), waitMs, readMs }
   }
 
@@ -248,6 +258,10 @@
   return waitMs + readMs <= limits.inTimeMs || waitMs <= limits.waitMs
 }
 
+function findSoonest (options: readonly Option[]): Option {
+  return options.reduce((least, next) => next.waitMs + next.readMs < least.waitMs + least.readMs ? next : least)
+}
+
 /** The least time until the prompt is read; time to read again what another target keeps counts twice. */
 function chooseBest (options: readonly Option[]): Option | undefined {
   const leastReadMs = Math.min(...options.map(({ readMs }) => readMs))
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -90,6 +90,39 @@
     expect([...scheduler.step(61)].map(([id]) => id)).toEqual([small.id])
   })
 
+  // Load pattern: two hot accounts, one with many small prompts. Whoever came just as room appeared took it, so the account that waited got none.
+  it('keeps the next room of an engine for a waiting account that has used less, also against later arrivals', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    const hot = Array.from({ length: 40 }, () => createRequest({ account: 'hot', shared: 'h', ownTokens: 1_500 }))
+    const placed = hot.filter(request => scheduler.request(request, 0)?.type === 'place')
+    const rare = createRequest({ account: 'rare', shared: 'other', sharedTokens: 4_000, ownTokens: 6_000 })
+    expect(scheduler.request(rare, 0)).toBeUndefined()
+    let nowMs = 0
+    for (const { id } of placed.slice(0, -2)) {
+      nowMs += 12
+      scheduler.record(id, 'read', nowMs)
+      expect(getTarget(scheduler.request(createRequest({ account: 'hot', shared: 'h', ownTokens: 1_500 }), nowMs))).toBeUndefined()
+      const verdicts = new Map(scheduler.step(nowMs))
+      if (verdicts.has(rare.id)) break
+    }
+    expect(scheduler.listRunning().some(({ request }) => request.id === rare.id)).toBe(true)
+    expect(nowMs).toBeLessThanOrEqual(200)
+    expect(getTarget(scheduler.request(createRequest({ account: 'hot', shared: 'h', ownTokens: 100 }), nowMs))).toBeDefined()
+  })
+
+  // Guards against an engine that stays closed to others after the caller for whom it was held has left.
+  it('gives a held engine free when the waiting request is withdrawn', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    const hot = Array.from({ length: 40 }, () => createRequest({ account: 'hot', shared: 'h', ownTokens: 1_500 }))
+    const placed = hot.filter(request => scheduler.request(request, 0)?.type === 'place')
+    const rare = createRequest({ account: 'rare', shared: 'other', sharedTokens: 4_000, ownTokens: 6_000 })
+    expect(scheduler.request(rare, 0)).toBeUndefined()
+    for (const { id } of hot) if (!placed.some(request => request.id === id)) scheduler.record(id, 'ended', 1)
+    scheduler.record(rare.id, 'ended', 1)
+    for (const { id } of placed.slice(0, 3)) scheduler.record(id, 'read', 2)
+    expect(getTarget(scheduler.request(createRequest({ account: 'hot', shared: 'h', ownTokens: 100 }), 2))).toBe('t1')
+  })
+
   it('leaves out targets that drain, are excluded or can not be reached', () => {
     const scheduler = createScheduler([createTarget('t1'), createTarget('t2', { isDraining: true })])
     expect(getTarget(scheduler.request(createRequest({ excluded: ['t1'] }), 0))).toBe('none')
