--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -7,7 +7,7 @@
 const OVERLOAD_MS = 1_000
 const RECOVERY_MS = 200
 /** Calls that arrive in a turn which is late by this much have waited as long unseen, and others wait behind them. */
-const SHED_LATE_MS = 100
+const SHED_LATE_MS = 50
 /** After this time the load balancer sends new connections elsewhere: it asks once a second, and twice before it acts. */
 const UNREADY_NOTICED_MS = 2_500
 
@@ -28,8 +28,9 @@
  * @description
  * Answers the load of one caller whose requests all reach one router: one turn of the event loop takes seconds, in
  * which no connection is accepted, while the routers next to it are idle. A router that says it is not ready gets no
- * new connections; once that has been noticed, it closes kept ones with their answers, so that their callers go
- * elsewhere too. Calls beyond what a turn can take are refused as not run, so that a retry finds a router with time.
+ * new connections. Calls beyond what a turn can take are refused as not run, so that a retry finds a router with time;
+ * once the load balancer has noticed, these answers close their connections, so that as many callers stay as can be
+ * served.
  *
  * @example
  * const detector = new OverloadDetector()
--- a/src/gateway/OverloadDetector/test.ts
+++ b/src/gateway/OverloadDetector/test.ts
@@ -50,7 +50,7 @@
     const detector = new OverloadDetector()
     expect(detector.isShedding(500)).toBe(false)
     detector.addSample({ intervalMs: 400, delayMs: 300, utilization: 1 }, 400)
-    expect([detector.isShedding(20), detector.isShedding(150)]).toEqual([false, true])
+    expect([detector.isShedding(20), detector.isShedding(80)]).toEqual([false, true])
     detector.addSample({ intervalMs: 100, delayMs: 0, utilization: 0.4 }, 500)
     expect(detector.isShedding(150)).toBe(false)
   })
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -2,7 +2,7 @@
 import { OverloadDetector } from '../../../gateway/OverloadDetector'
 import type { PartLogger } from '../../../telemetry/PartLogger'
 
-const SAMPLE_INTERVAL_MS = 100
+const SAMPLE_INTERVAL_MS = 50
 
 /** Watches the event loop from its start until it is closed, and sheds callers of a server while it is overloaded. */
 export class EventLoopMonitor {
@@ -33,10 +33,10 @@
     }, SAMPLE_INTERVAL_MS)
   }
 
-  /** Closes the connections of callers with their answers, once they would reach another router. */
+  /** Closes the connections of calls that are refused, once their callers would reach another router. */
   watch (server: Server): void {
     server.prependListener('request', (_request, response: ServerResponse) => {
-      if (this.#detector.isNoticed(performance.now())) response.setHeader('connection', 'close')
+      if (this.#detector.isNoticed(performance.now()) && this.isShedding()) response.setHeader('connection', 'close')
     })
   }
 
