Try all sources of settings before a follower returns to its first choice

A follower returned to its first source 5 s after it had left it, whether or not another one had replied; with three sources that let it wait 3 s each, the fourth was never asked. Change: it returns to the first source only while another one gives fresh data. Before: the new test of SettingsFollower had no settings after 15 s. After: it has.

--- a/src/configuration/SettingsFollower/index.ts
+++ b/src/configuration/SettingsFollower/index.ts
@@ -12,7 +12,7 @@
 const RETRY_DELAY_MS = 100
 /** Data that no control replica has confirmed for this time makes the follower try its other sources. */
 const MAX_AGE_MS = 3_000
-/** A follower that uses another source than its first choice returns to the first choice after this time. */
+/** A follower that gets fresh data from another source than its first choice returns to the first choice after this time. */
 const PREFER_FIRST_AFTER_MS = 5_000
 const REPORT_INTERVAL_MS = 50
 
@@ -49,6 +49,8 @@
   #index = 0
   #leftFirstAtMs = 0
   #isSourceStale = false
+  /** Whether the newest reply was fresh; until then all sources are tried in turn. */
+  #isFresh = false
   #source?: LogSource
   /** The source that has all reports so far. */
   #reportedTo?: LogSource
@@ -90,8 +92,8 @@
   async #run (): Promise<void> {
     while (this.#isRunning) {
       const source = this.#chooseSource()
-      const isFresh = source !== undefined && await this.#tryFetch(source)
-      if (isFresh || !this.#isRunning) continue
+      this.#isFresh = source !== undefined && await this.#tryFetch(source)
+      if (this.#isFresh || !this.#isRunning) continue
       this.#updateSourceIndex()
       await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS))
     }
@@ -99,7 +101,8 @@
 
   #chooseSource (): LogSource | undefined {
     const sources = this.#options.listSources()
-    if (this.#index >= sources.length || performance.now() - this.#leftFirstAtMs > PREFER_FIRST_AFTER_MS) this.#index = 0
+    const isFirstDue = this.#isFresh && performance.now() - this.#leftFirstAtMs > PREFER_FIRST_AFTER_MS
+    if (this.#index >= sources.length || isFirstDue) this.#index = 0
     this.#source = sources[this.#index]
     return this.#source
   }
--- a/src/configuration/SettingsFollower/test.ts
+++ b/src/configuration/SettingsFollower/test.ts
@@ -46,6 +46,18 @@
     follower.stop()
   })
 
+  // Guards against a follower that returns to its first choice before it has reached the only source that replies.
+  it('tries all sources, also when several of them let it wait', async () => {
+    jest.useFakeTimers()
+    const hanging = createSource('hanging', () => new Promise((_resolve, reject) => setTimeout(() => reject(new Error('time-out')), 3_000)))
+    const { tree, follower } = createObserver(() => [hanging, hanging, hanging, createLog(2, 0)])
+    follower.start()
+    await jest.advanceTimersByTimeAsync(15_000)
+    follower.stop()
+    jest.useRealTimers()
+    expect(tree.offset).toBe(2)
+  })
+
   it('gets the newest settings of the zone when no control replica is reachable, so that a cold start in a partitioned zone can serve', async () => {
     const { tree, view, follower } = createObserver(() => [unreachable, createLog(2, 60_000), createLog(4, 90_000)])
     follower.start()
