--- a/src/gateway/CallRecord/index.ts
+++ b/src/gateway/CallRecord/index.ts
@@ -65,7 +65,7 @@
   #placedMs = 0
   #estimate: Estimate | undefined
   #admission: { route: string, account: string | undefined, service: string, version: number } | undefined
-
+  /** Span of the step that the request is in. */
   #hop: Span | undefined
 
   constructor (facts: CallFacts, options: CallRecordOptions) {
--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -4,7 +4,9 @@
 const BUSY_UTILIZATION = 0.9
 /** A busy loop that is later than this with a timer makes callers wait. */
 const LATE_MS = 30
+/** Late time within the window from which the router counts as overloaded. */
 const OVERLOAD_MS = 1_000
+/** Late time within the window up to which it has recovered. */
 const RECOVERY_MS = 200
 /** Calls that arrive in a turn which is late by this much have waited as long unseen, and others wait behind them. */
 const SHED_LATE_MS = 50
