Tell observers how old a control replica's settings may be

A control replica always told its observers that its data was 0 ms old. A former leader that hears the new one and isn't heard accepts no entries, because its refusals are lost, so its routers stayed with old settings that looked fresh until chance led them elsewhere. Ruled out: the disk (fails with files in memory), processor time (passes beside 14 busy loops), elections.

--- a/src/log/LogTask/index.ts
+++ b/src/log/LogTask/index.ts
@@ -80,6 +80,8 @@
     this.#snapshots = new Snapshots(storage, this.#queue)
   }
 
+  get ageMs (): number { return this.#core.computeAge(performance.now()) }
+
   /** Newest offset that is committed and applied here. */
   get commitOffset (): number {
     return this.#appliedOffset
--- a/src/log/LogTask/test.ts
+++ b/src/log/LogTask/test.ts
@@ -33,17 +33,18 @@
 /** Three replicas in this process, on file systems in memory. */
 async function startReplicas ({ voteSyncMs = 0 } = {}) {
   const names = ['c1', 'c2', 'c3']
+  const muted = new Set<LogTask>()
   const replicas: Array<{ log: LogTask, machine: ListMachine, fileSystem: MemoryFileSystem, errors: AppError[] }> = []
   for (const name of names) {
     const [fileSystem, machine, errors] = [new MemoryFileSystem(), new ListMachine(), [] as AppError[]]
     const find = (id: string) => replicas[names.indexOf(id.split(':')[0])].log
     const storage = await LogStorage.open({ fileSystem, directory: '/data/settings', instance: name })
     if (voteSyncMs > 0) delayVotes(storage, voteSyncMs)
-    const log = new LogTask({
+    const log: LogTask = new LogTask({
       storage,
       machine,
       transport: {
-        send: message => setImmediate(() => find(message.to).handleMessage(message)),
+        send: message => { if (!muted.has(log)) setImmediate(() => find(message.to).handleMessage(message)) },
         request: (instance, type, body) => type === 'propose' ? find(instance).proposeHere(body) : find(instance).confirmReadHere()
       },
       peers: names.filter(other => other !== name),
@@ -56,10 +57,29 @@
   await waitFor(() => replicas.some(({ log }) => log.getStatus().role === 'leader'))
   const leader = replicas.find(({ log }) => log.getStatus().role === 'leader')!
   const followers = replicas.filter(replica => replica !== leader)
-  return { replicas, leader, followers }
+  return { replicas, leader, followers, muted }
 }
 
 describe('LogTask', () => {
+  // Guards against old settings that are taken for new: a replica that hears the new leader but is not heard misses its entries.
+  it('tells that it is not current when its leader has committed more than it holds', async () => {
+    const { replicas, leader: former, followers, muted } = await startReplicas()
+    await former.log.propose('before')
+    expect(former.log.ageMs).toBe(0)
+    muted.add(former.log)
+    await waitFor(() => followers.some(({ log }) => log.getStatus().role === 'leader'))
+    const leader = followers.find(({ log }) => log.getStatus().role === 'leader')!
+    await leader.log.propose('after')
+    await new Promise(resolve => setTimeout(resolve, 900))
+    expect(leader.log.ageMs).toBe(0)
+    expect(former.log.ageMs).toBeGreaterThan(500)
+    for (const { log } of followers) expect(log.ageMs).toBeLessThan(500)
+    muted.clear()
+    await waitFor(() => former.log.ageMs < 200)
+    expect(former.machine.commands).toContain('after')
+    await Promise.all(replicas.map(({ log }) => log.close()))
+  })
+
   // Guards against elections without end: on a throttled disk each candidate's time ran out before the votes were on the disks.
   it('elects a leader although a vote takes longer to sync than the election timeout', async () => {
     const startedAtMs = performance.now()
--- a/src/log/MemoryLog/index.ts
+++ b/src/log/MemoryLog/index.ts
@@ -24,6 +24,10 @@
     this.#machine = machine
   }
 
+  get ageMs (): number {
+    return 0
+  }
+
   get commitOffset (): number {
     return this.#entries.length
   }
--- a/src/log/ReplicaCore/index.ts
+++ b/src/log/ReplicaCore/index.ts
@@ -47,6 +47,8 @@
   #votes = new Set<string>()
   #electionMs: number
   #leaderContactMs = -Infinity
+  /** When this replica last held everything that its leader had committed. */
+  #currentMs = -Infinity
   /** How long a vote took to become durable of late. */
   #voteSyncMs = 0
 
@@ -152,6 +154,11 @@
     this.#data.log.truncateThrough(Math.min(offset, this.#data.commitOffset))
   }
 
+  /** Milliseconds since this replica was current: as a leader with a majority, or with everything that its leader had committed. */
+  computeAge (nowMs: number): number {
+    return this.#leading?.isSupported(nowMs) ? 0 : nowMs - this.#currentMs
+  }
+
   /** Records how long a vote took to become durable. Elections are given more time on slow disks, or none would end. */
   recordVoteSync (durationMs: number, nowMs: number): void {
     this.#voteSyncMs = Math.min(timing.maxVoteSyncMs, Math.max(durationMs, this.#voteSyncMs * VOTE_SYNC_DECAY))
@@ -278,6 +285,7 @@
     this.#electionMs = nowMs + this.#computeElectionTimeout()
     if (message.type === 'append') yield * this.#receiver.handleAppend(message)
     else yield * this.#receiver.handleSnapshot(message)
+    if (message.type === 'append' && this.#data.commitOffset >= message.commitOffset) this.#currentMs = nowMs
   }
 
   * #handleAppendReply (message: Message<'appendReply'>, nowMs: number): Effects {
--- a/src/log/ReplicatedLog/index.ts
+++ b/src/log/ReplicatedLog/index.ts
@@ -15,6 +15,8 @@
   propose: (command: unknown) => Promise<unknown>
   confirmRead: () => Promise<void>
   readonly commitOffset: number
+  /** Milliseconds since this replica was known to hold every committed change; Infinity if it never was. */
+  readonly ageMs: number
   /** Committed entries after an offset, or undefined if they are truncated. */
   listEntries: (afterOffset: number, maxEntries: number) => Array<{ offset: number, command: unknown }> | undefined
   /** Resolves when the commit offset exceeds the given one, or after the time. */
