--- a/src/command/runUntilSignal/index.ts
+++ b/src/command/runUntilSignal/index.ts
@@ -1,7 +1,7 @@
 /**
  * @name runUntilSignal
  * @category Command
- * @summary Waits for SIGTERM or SIGINT, then closes the process gracefully.
+ * @summary Waits for SIGTERM, SIGINT or SIGHUP, then closes the process gracefully.
  *
  * @description
  * Further signals are ignored, so that they can't interrupt running requests.
@@ -13,7 +13,7 @@
  */
 export async function runUntilSignal (close: () => Promise<void>): Promise<void> {
   await new Promise<void>(resolve => {
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => resolve())
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) process.on(signal, () => resolve())
   })
   await close()
 }
