Close components that are registered during a stop

A SIGTERM while a process starts closed what was registered so far; what the start registered afterwards stayed open until the process ended under it. The life-cycle manager now closes such a component next.

The new test failed before: 'late' was missing from the closed components.

--- a/src/lifecycle/LifecycleManager/index.ts
+++ b/src/lifecycle/LifecycleManager/index.ts
@@ -14,7 +14,8 @@
  *
  * @description
  * Each component registers a close function when it is opened. `close` runs these functions one after another; if one
- * fails, its error is reported and the rest still run. A second `close` returns the promise of the first.
+ * fails, its error is reported and the rest still run. A component that is registered meanwhile is closed next, because
+ * a stop may begin while the process is still starting. A second `close` returns the promise of the first.
  *
  * @param observer - Notified of close functions that fail.
  *
@@ -47,11 +48,11 @@
   }
 
   async #closeAll (): Promise<void> {
-    for (const { name, close } of [...this.#registrations].reverse()) {
+    for (let next = this.#registrations.pop(); next; next = this.#registrations.pop()) {
       try {
-        await close()
+        await next.close()
       } catch (error) {
-        this.#observer?.onError(name, error)
+        this.#observer?.onError(next.name, error)
       }
     }
   }
--- a/src/lifecycle/LifecycleManager/test.ts
+++ b/src/lifecycle/LifecycleManager/test.ts
@@ -12,4 +12,19 @@
     expect(closed).toEqual(['c', 'a'])
     expect(failures).toEqual(['b'])
   })
+
+  // Guards against a component that stays open because a stop began while the process was still starting.
+  it('closes a component that is registered while another one is closing', async () => {
+    const closed: string[] = []
+    const lifecycle = new LifecycleManager()
+    lifecycle.register('first', () => { closed.push('first') })
+    lifecycle.register('second', async () => {
+      await Promise.resolve()
+      closed.push('second')
+    })
+    const closing = lifecycle.close()
+    lifecycle.register('late', () => { closed.push('late') })
+    await closing
+    expect(closed).toEqual(['second', 'late', 'first'])
+  })
 })
