Believe a target's refusal only with the id of its call

Callers got "not run, try again" for a request that a target ran or might still run, and the router sent such a request to a second target: a copy of an earlier refusal that arrives as the answer of the next request on a kept connection was believed if it had no call id. Only successful responses had to have one, although targets repeat the id in all of their responses.

A response of any status now has to have the id of its request. Without it the outcome is unknown, and the connection is closed. A request without an id still accepts a refusal without one.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -33,8 +33,9 @@
  * @summary One attempt of a request at one target: forwards the response and reports how the attempt ended.
  *
  * @description
- * A successful response is forwarded only if it is signed by the target and belongs to this request. Streams are
- * forwarded event by event, other responses once they are complete.
+ * A response is believed only if it has the id of this request, a refusal ("not run") too: without it, the outcome is
+ * unknown. A successful response must also be signed by the target. Streams are forwarded event by event, other responses
+ * once they are complete.
  *
  * @example
  * const attempt = new CallAttempt(options)
@@ -91,7 +92,8 @@
     const parsedHeaders = codec.readResponseHeaders(headers)
     this.#options.onHead()
     const isSuccess = status >= 200 && status < 300
-    if (parsedHeaders.callId !== undefined ? parsedHeaders.callId !== callId : isSuccess) return this.#refuseResponse()
+    // A target repeats the id of the request, also in refusals: any other response may be a late one to an earlier request.
+    if ((parsedHeaders.callId ?? '') !== callId || (isSuccess && parsedHeaders.callId === undefined)) return this.#refuseResponse()
     if (isSuccess && (!parsedHeaders.isSigned || headers['content-encoding'] !== undefined)) return this.#refuseResponse()
     if (parsedHeaders.isNotRun || status === TARGET_CHANGED_STATUS) this.#notRunResult = { retryAfterS: parsedHeaders.retryAfterS }
     this.#head = { status, headers }
--- /dev/null
+++ b/test/targetAnswers.test.ts
@@ -0,0 +1,104 @@
+import { connect, type Socket } from 'node:net'
+import { GatewayFleet } from './_lib/GatewayFleet'
+import { startRawTarget } from './_lib/startRawTarget'
+
+type Respond = Parameters<typeof startRawTarget>[1]['respond']
+
+const KINDS: Array<[string, object]> = [['read', {}], ['book', { kind: 'non-idempotent' }], ['resume', { kind: 'stream', isResumable: true }], ['stream', { kind: 'stream' }]]
+const route = (service: number, name: string, overrides: object) => ({ name: `${service}-${name}`, host: 'a.example', pathPrefix: `/${service}/${name}/`, kind: 'idempotent' as const, timeoutMs: 3_000, priority: 1, split: [{ service: `s${service}`, weight: 1 }], maxAttempts: 2, isOpen: true, isResumable: false, ...overrides })
+const head = (callId: string, status = '200 OK', ...headers: string[]): string => [`HTTP/1.1 ${status}`, `call-id: ${callId}`, 'signature: s', ...headers, '', ''].join('\r\n')
+/** Time in which the router reads what was written before more happens on the connection. */
+const READ_MS = 50
+
+interface Answer { raw: string, status: number, body: string, end: 'closed' | 'reset' | 'open' }
+
+/** Sends a request on a connection of its own and reads until the connection ends, or the response if it has a length. */
+async function send (path: string, { callId = 'call-1', onData = (_socket: Socket) => {} } = {}): Promise<Answer> {
+  return await new Promise(resolve => {
+    let raw = ''
+    const socket = connect(Number(new URL(fleet.url).port), '127.0.0.1', () => socket.write(`POST ${path} HTTP/1.1\r\nhost: a.example\r\ncall-id: ${callId}\r\ncontent-length: 1\r\n\r\nx`))
+    const settle = (end: Answer['end']): void => {
+      socket.destroy()
+      resolve({ raw, status: Number(raw.slice(9, 12)), body: raw.slice(raw.indexOf('\r\n\r\n') + 4), end })
+    }
+    socket.on('data', bytes => {
+      raw += String(bytes)
+      onData(socket)
+      const length = /^content-length: (\d+)\r$/im.exec(raw)?.[1]
+      const isWhole = length === undefined ? raw.endsWith('\r\n0\r\n\r\n') : raw.length === raw.indexOf('\r\n\r\n') + 4 + Number(length)
+      if (isWhole) settle('open')
+    })
+    socket.on('end', () => settle('closed'))
+    socket.on('error', () => settle('reset'))
+  })
+}
+
+/** Each test uses a service of its own, because a router avoids targets that have failed. */
+const SERVICES = 40
+const TARGETS_PER_SERVICE = 2
+let fleet: GatewayFleet
+let nextService = 0
+const handlersByService: Respond[][] = []
+const countsByService: number[] = []
+const targets: Array<Awaited<ReturnType<typeof startRawTarget>>> = []
+
+/** Uses the next service; its attempts run the given handlers in turn, and the last one from then on. */
+function script (...handlers: Respond[]): { url: string, countAttempts: () => number } {
+  const service = nextService++
+  handlersByService[service] = handlers
+  countsByService[service] = 0
+  return { url: `/${service}`, countAttempts: () => countsByService[service] }
+}
+
+beforeAll(async () => {
+  fleet = await GatewayFleet.start()
+  for (let service = 0; service < SERVICES; service++) {
+    const respond: Respond = (socket, request) => {
+      const handlers = handlersByService[service]
+      handlers[Math.min(countsByService[service]++, handlers.length - 1)](socket, request)
+    }
+    for (let i = 0; i < TARGETS_PER_SERVICE; i++) targets.push(await startRawTarget(fleet, { id: `t${service}-${i}`, service: `s${service}`, respond }))
+  }
+  const routes = Array.from({ length: SERVICES }, (_, service) => KINDS.map(([name, overrides]) => route(service, name, overrides))).flat()
+  await fleet.setDocument({ version: 1, routes, services: Array.from({ length: SERVICES }, (_, service) => ({ name: `s${service}` })) as never })
+  await fleet.waitUntilReady()
+})
+
+afterAll(async () => {
+  await fleet.close()
+  for (const target of targets) await target.close()
+})
+
+describe('refusals of targets', () => {
+  // Guards against a refusal of an earlier request that is believed for one that a target runs (REFUSED, TWICE).
+  it.each<[string, string]>([
+    ['without a call id', 'HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'],
+    ['of a changed target without a call id', 'HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n'],
+    ['with the call id of another request', head('earlier', '503 Busy', 'not-run: 1', 'content-length: 0')]
+  ])('are not believed %s: the outcome is unknown, and the request is not sent again', async (_title, refusal) => {
+    const { url, countAttempts } = script(socket => socket.write(refusal))
+    expect([(await send(`${url}/book/`)).status, countAttempts()]).toEqual([502, 1])
+  })
+
+  // Guards against the same when the copy follows the answer on the kept connection, in one segment or some time later.
+  it.each<[string, number | undefined]>([['in the same segment', undefined], ['later', READ_MS]])('are not believed when a copy follows the answer to an earlier request %s', async (_title, delayMs) => {
+    const refusal = (callId: string): string => head(callId, '503 Busy', 'not-run: 1', 'content-length: 0')
+    const { url } = script((socket, { callId }) => {
+      const answer = head(callId, '200 OK', 'content-length: 2') + 'ok'
+      if (delayMs === undefined) return socket.write(answer + refusal('earlier'))
+      socket.write(answer)
+      setTimeout(() => socket.write(refusal(callId)), delayMs)
+    })
+    for (const callId of ['c1', 'c2', 'c3']) {
+      expect(await send(`${url}/book/`, { callId })).toMatchObject({ status: 200, body: 'ok' })
+      await new Promise(resolve => setTimeout(resolve, 2 * (delayMs ?? 0)))
+    }
+  })
+
+  it('are believed with the call id of the request, which is then sent to another target', async () => {
+    const refuse: Respond = (socket, { callId }) => socket.write(head(callId, '503 Busy', 'not-run: 1', 'content-length: 0'))
+    const accepted = script(refuse, (socket, { callId }) => socket.write(head(callId, '200 OK', 'content-length: 2') + 'ok'))
+    expect(await send(`${accepted.url}/book/`)).toMatchObject({ status: 200, body: 'ok' })
+    expect((await send(`${script(refuse).url}/book/`)).status).toBe(503)
+  })
+})
