Keep running when a target resets the connection of a paused response

A router exited, with all calls under way, when a target reset a connection whose response had "Connection: close" or no length while the response was paused, because its caller reads slowly. undici handles ECONNRESET on such a response by finishing its parser, and asserts there that the parser isn't paused; the assertion fails in an event listener and ends the process. Both HTTP clients of targets were affected, TargetConnections and TargetClient.

createConnector gives the error of a reset another code before undici sees it, so undici takes its general path for errors: the response fails, paused or not, framed or not. It replaces the flag in TargetConnections by which resets of responses without a length were noticed, and does the same for TargetClient.

The new tests failed before with an uncaught AssertionError: src/gateway/TargetConnections/test.ts, both cases, and src/target/TargetClient/test.ts: assert(received) at Parser.finish (undici/lib/dispatcher/client-h1.js:375) With the change all tests of both files pass.

--- a/src/gateway/TargetConnections/index.ts
+++ b/src/gateway/TargetConnections/index.ts
@@ -1,5 +1,5 @@
-import type { Socket } from 'node:net'
-import { buildConnector, Pool, type Dispatcher } from 'undici'
+import { Pool, type Dispatcher } from 'undici'
+import { createConnector } from '../../target/createConnector'
 
 const CONNECT_TIMEOUT_MS = 500
 /** Used if a target doesn't announce how long it keeps idle connections open. */
@@ -20,21 +20,19 @@
  *
  * @description
  * Each connection has one request in flight at a time, and undici neither retries nor pipelines. A connection is closed
- * if it receives bytes that belong to no request. When a connection is reset, undici treats a response without a length
- * as complete; here it ends with an error, because only an orderly close shows that nothing is missing.
+ * if it receives bytes that belong to no request. A response without a length is complete when its connection is closed
+ * in order, and ends with an error when it is reset.
  *
  * @example
  * connections.dispatch({ host: '10.0.0.9', port: 8080 }, { limit: 30, request, handler })
  */
 export class TargetConnections {
   readonly #pools = new Map<string, Pool>()
-  readonly #connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
-  /** Whether undici is handling the reset of a connection, which it does synchronously. */
-  #isResetting = false
+  readonly #connect = createConnector({ timeoutMs: CONNECT_TIMEOUT_MS })
 
   /** Sends a request. `limit`: maximum number of connections, used when the pool of the target is created. */
   dispatch (address: TargetAddress, { limit, request, handler }: { limit: number, request: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler }): void {
-    this.#getPool(address, limit).dispatch(request, this.#wrapHandler(handler))
+    this.#getPool(address, limit).dispatch(request, handler)
   }
 
   /** Closes the connections to targets that are no longer listed, once their requests have ended. */
@@ -52,31 +50,6 @@
     this.#pools.clear()
   }
 
-  #open (options: buildConnector.Options, done: buildConnector.Callback): void {
-    this.#connect(options, (...[error, socket]) => {
-      if (error) return done(error, null)
-      // This listener is registered before that of undici and therefore runs first.
-      socket.on('error', () => {
-        this.#isResetting = true
-        queueMicrotask(() => { this.#isResetting = false })
-      })
-      done(null, socket as Socket)
-    })
-  }
-
-  #wrapHandler (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
-    return {
-      onRequestStart: (...details) => handler.onRequestStart?.(...details),
-      onResponseStart: (...details) => handler.onResponseStart?.(...details),
-      onResponseData: (...details) => handler.onResponseData?.(...details),
-      onResponseEnd: (controller, trailers) => {
-        if (this.#isResetting) handler.onResponseError?.(controller, new Error('The connection was reset before the end of the response.'))
-        else handler.onResponseEnd?.(controller, trailers)
-      },
-      onResponseError: (...details) => handler.onResponseError?.(...details)
-    }
-  }
-
   #getPool (address: TargetAddress, limit: number): Pool {
     const origin = formatOrigin(address)
     let pool = this.#pools.get(origin)
@@ -84,7 +57,7 @@
       pool = new Pool(origin, {
         connections: limit,
         pipelining: 1,
-        connect: (options, done) => this.#open(options, done),
+        connect: this.#connect,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
         keepAliveMaxTimeout: MAX_KEEP_ALIVE_TIMEOUT_MS,
--- a/src/gateway/TargetConnections/test.ts
+++ b/src/gateway/TargetConnections/test.ts
@@ -68,4 +68,23 @@
     expect(end).toBe('unsent')
     await connections.close()
   })
+
+  // Guards against a router that exits: undici asserts that its parser is not paused when it handles a reset.
+  it.each([['in chunks', 'connection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nwho\r\n'], ['without a length', '\r\nwho']])('reports a response as lost that is reset while its reader has paused it: one %s', async (_title, bytes) => {
+    const server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', () => socket.write(HEAD + bytes, () => setTimeout(() => socket.resetAndDestroy(), 20)))
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+    const { port } = server.address() as AddressInfo
+    const connections = new TargetConnections()
+    const end = await new Promise(resolve => {
+      const exchange = new TargetExchange({ onHead () {}, onData: () => exchange.pause(), onEnd: () => resolve('complete'), onError: () => resolve('lost') })
+      connections.dispatch({ host: '127.0.0.1', port }, { limit: 1, request: { method: 'GET', path: '/' }, handler: exchange })
+      setTimeout(() => { exchange.resume(); setTimeout(() => resolve('nothing'), 200) }, 200)
+    })
+    expect(end).toBe('lost')
+    await connections.close()
+    await new Promise(resolve => server.close(resolve))
+  })
 })
--- a/src/target/TargetClient/index.ts
+++ b/src/target/TargetClient/index.ts
@@ -5,6 +5,7 @@
 import { SendState } from '../_lib/SendState'
 import { createHexId } from '../../telemetry/createHexId'
 import { checkFraming } from '../checkFraming'
+import { createConnector } from '../createConnector'
 import type { TargetRequest } from '../TargetRequest'
 import type { TargetResponse } from '../TargetResponse'
 
@@ -31,7 +32,7 @@
  * const response = await client.dispatch({ url, method: 'GET', path: '/health', headers: {} })
  */
 export class TargetClient {
-  readonly #agent = new Agent({ pipelining: 1, connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, bodyTimeout: BODY_TIMEOUT_MS, headersTimeout: 0 })
+  readonly #agent = new Agent({ pipelining: 1, connect: createConnector({ timeoutMs: CONNECT_TIMEOUT_MS }), keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, bodyTimeout: BODY_TIMEOUT_MS, headersTimeout: 0 })
 
   /**
    * @throws AppError `target-failed`, `target-timeout`, `answer-truncated` or the reason of the signal: outcome
--- a/src/target/TargetClient/test.ts
+++ b/src/target/TargetClient/test.ts
@@ -100,4 +100,18 @@
     expect(target.requests).toHaveLength(0)
     await client.close()
   })
+
+  // Guards against a router that exits: undici asserts that its parser is not paused when it handles a reset.
+  it('fails the body when a connection is reset while nobody reads the body', async () => {
+    const size = 60_000
+    const target = await startRawTarget(socket => socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ${2 * size}\r\n\r\n${'x'.repeat(size)}`, () => setTimeout(() => socket.resetAndDestroy(), 20)))
+    const client = new TargetClient()
+    const { body } = await client.dispatch(booking(target.url))
+    const failed = new Promise(resolve => body.once('error', resolve))
+    await new Promise(resolve => setTimeout(resolve, 100))
+    body.resume()
+    expect(String(await failed)).toMatch('ECONNRESET')
+    await client.close()
+    await closeTarget(target)
+  })
 })
