Break off a stream whose last event has no id instead of running it again

A caller of a resumable route got the events of its stream twice: when a stream broke off after events without ids, the next attempt had no event to resume after and began anew; when only the last event had no id, the stream was resumed after an earlier one, which repeats that event. In both cases the response then ended as if it were complete.

EventSplitter tells whether the last event has an id, and planAttempts breaks off a stream that has begun and can't be resumed. It also remembers that the response has begun instead of inferring it from an id, so that the error of a later target is never delivered into a stream.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -10,6 +10,8 @@
   callId: string
   target: string
   isStream: boolean
+  /** Id of the event after which the attempt resumes a stream that the caller has received in part. */
+  resumedEventId: string | undefined
   writer: ResponseWriter
   /** Called when the head of a response has arrived. */
   onHead: () => void
@@ -58,6 +60,7 @@
 
   constructor (options: CallAttemptOptions) {
     this.#options = options
+    this.#lastEventId = options.resumedEventId
     this.result = new Promise(resolve => { this.#settle = resolve })
     this.exchange = new TargetExchange({
       onHead: (status, headers) => this.#handleHead(status, headers),
@@ -110,9 +113,10 @@
   }
 
   #pipeEvents (chunk: Buffer): void {
-    const { bytes, lastEventId } = this.#splitter.add(chunk)
-    this.#lastEventId = lastEventId
-    if (bytes && !this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
+    const { bytes, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
+    if (!bytes) return
+    this.#lastEventId = isLastIdentified ? lastEventId : undefined
+    if (!this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
   }
 
   #handleEnd (): void {
--- a/src/gateway/EventSplitter/index.ts
+++ b/src/gateway/EventSplitter/index.ts
@@ -6,6 +6,8 @@
   bytes: Buffer | undefined
   /** Id of the last complete event that has one. */
   lastEventId: string | undefined
+  /** Whether the last complete event has an id: without one, a stream can't be resumed without repeating the event. */
+  isLastIdentified: boolean
 }
 
 /**
@@ -25,6 +27,7 @@
 export class EventSplitter {
   #pending: Buffer | undefined
   #lastEventId: string | undefined
+  #isLastIdentified = false
 
   /** Number of bytes of the incomplete event at the end. */
   get pendingBytes (): number {
@@ -38,17 +41,27 @@
     // Without the end of an event, lastIndexOf returns -1, and the sum is less than the length of an event end.
     if (completeLength < EVENT_END.length) {
       this.#pending = bytes
-      return { bytes: undefined, lastEventId: this.#lastEventId }
+      return this.#createResult(undefined)
     }
     this.#pending = completeLength === bytes.length ? undefined : bytes.subarray(completeLength)
     const complete = bytes.subarray(0, completeLength)
-    this.#lastEventId = findLastId(complete) ?? this.#lastEventId
-    return { bytes: complete, lastEventId: this.#lastEventId }
+    const text = complete.toString('latin1')
+    this.#lastEventId = findLastId(text) ?? this.#lastEventId
+    this.#isLastIdentified = findLastEvent(text)?.some(line => line.startsWith('id:')) ?? this.#isLastIdentified
+    return this.#createResult(complete)
   }
+
+  #createResult (bytes: Buffer | undefined): CompleteEvents {
+    return { bytes, lastEventId: this.#lastEventId, isLastIdentified: this.#isLastIdentified }
+  }
+}
+
+/** Returns the lines of the last event, without comments and other blocks that have no data. */
+function findLastEvent (text: string): string[] | undefined {
+  return text.split('\n\n').map(block => block.split('\n')).findLast(lines => lines.some(line => line.startsWith('data')))
 }
 
-function findLastId (events: Buffer): string | undefined {
-  const text = events.toString('latin1')
+function findLastId (text: string): string | undefined {
   const start = text.startsWith('id:') && text.lastIndexOf('\nid:') === -1 ? 0 : text.lastIndexOf('\nid:') + 1
   if (!text.startsWith('id:', start)) return undefined
   return text.slice(start + 3, text.indexOf('\n', start)).trim()
--- a/src/gateway/EventSplitter/test.ts
+++ b/src/gateway/EventSplitter/test.ts
@@ -21,4 +21,13 @@
     expect(add(splitter, 'id:9\ndata: x\n\n: comment\n\n')).toEqual(['id:9\ndata: x\n\n: comment\n\n', '9'])
     expect(add(splitter, 'data: y\n\n')).toEqual(['data: y\n\n', '9'])
   })
+
+  // Guards against a resumed stream that repeats events which have no id.
+  it('tells whether the last event has an id, whatever comments follow it', () => {
+    const splitter = new EventSplitter()
+    const isLastIdentified = (text: string): boolean => splitter.add(Buffer.from(text)).isLastIdentified
+    expect(isLastIdentified('data: x\n\nid: 1\ndata: y\n\n: comment\n\n')).toBe(true)
+    expect(isLastIdentified(': comment\n\n')).toBe(true)
+    expect(isLastIdentified('id: 2\ndata: x\n\ndata: y\n\n')).toBe(false)
+  })
 })
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -155,6 +155,7 @@
       callId: this.#metadata.id,
       target: target.id,
       isStream: route.kind === 'stream',
+      resumedEventId: lastEventId,
       writer: new ResponseWriter(this.#response),
       onHead: () => this.#record.startResponse(),
       onProgress: () => record('read')
--- a/src/routing/AttemptResult/index.ts
+++ b/src/routing/AttemptResult/index.ts
@@ -23,7 +23,7 @@
   | { type: 'failure', target: string }
   /**
    * The request may have run, but its response is missing or incomplete. If `isStarted`, the caller has received part of
-   * it, up to the event `lastEventId`.
+   * it, up to the event `lastEventId`, or up to an event without an id if that is undefined.
    */
   | { type: 'lost', target: string, isStarted: boolean, lastEventId?: string }
   /**
--- a/src/routing/planAttempts/index.ts
+++ b/src/routing/planAttempts/index.ts
@@ -55,6 +55,7 @@
   let deliveredAttempts = 0
   let unsentAttempts = 0
   let mayHaveRun = false
+  let isStarted = false
   let lastEventId: string | undefined
   const tryStartRetry = (): boolean => deliveredAttempts < policy.maxAttempts && policy.tryTakeRetry()
   for (;;) {
@@ -63,33 +64,35 @@
     switch (result.type) {
       case 'answered':
       case 'left': return { type: 'done' }
-      case 'no-target': return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-target' })
-      case 'refused': return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-room', retryAfterS: result.retryAfterS })
+      case 'no-target': return concludeUnserved({ mayHaveRun, isStarted }, { type: 'refuse', reason: 'no-target' })
+      case 'refused': return concludeUnserved({ mayHaveRun, isStarted }, { type: 'refuse', reason: 'no-room', retryAfterS: result.retryAfterS })
       case 'expired': return concludeExpired(result, mayHaveRun)
       case 'unsent':
-        if (++unsentAttempts >= MAX_UNSENT_ATTEMPTS) return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-target' })
+        if (++unsentAttempts >= MAX_UNSENT_ATTEMPTS) return concludeUnserved({ mayHaveRun, isStarted }, { type: 'refuse', reason: 'no-target' })
         break
       case 'not-run':
         deliveredAttempts++
-        if (!tryStartRetry()) return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'not-run', retryAfterS: result.retryAfterS })
+        if (!tryStartRetry()) return concludeUnserved({ mayHaveRun, isStarted }, { type: 'refuse', reason: 'not-run', retryAfterS: result.retryAfterS })
         break
       case 'failure':
         deliveredAttempts++
         mayHaveRun = true
-        if (!policy.isRetryable || !tryStartRetry()) return lastEventId === undefined ? { type: 'deliver' } : { type: 'break' }
+        if (!policy.isRetryable || !tryStartRetry()) return isStarted ? { type: 'break' } : { type: 'deliver' }
         break
       case 'lost':
         deliveredAttempts++
         mayHaveRun = true
-        lastEventId = result.lastEventId ?? lastEventId
-        if (!policy.isRetryable || !tryStartRetry()) return result.isStarted ? { type: 'break' } : { type: 'fail', reason: 'lost' }
+        isStarted = result.isStarted
+        lastEventId = result.lastEventId
+        // A stream that has begun can only be resumed after an event with an id; a new run would repeat its events.
+        if (!policy.isRetryable || (isStarted && lastEventId === undefined) || !tryStartRetry()) return isStarted ? { type: 'break' } : { type: 'fail', reason: 'lost' }
     }
   }
 }
 
 /** A refusal guarantees that no target ran the request, so it is returned only if this is known for every attempt. */
-function concludeUnserved ({ mayHaveRun, lastEventId }: { mayHaveRun: boolean, lastEventId: string | undefined }, refusal: Conclusion): Conclusion {
-  if (lastEventId !== undefined) return { type: 'break' }
+function concludeUnserved ({ mayHaveRun, isStarted }: { mayHaveRun: boolean, isStarted: boolean }, refusal: Conclusion): Conclusion {
+  if (isStarted) return { type: 'break' }
   return mayHaveRun ? { type: 'fail', reason: 'lost' } : refusal
 }
 
--- a/src/routing/planAttempts/test.ts
+++ b/src/routing/planAttempts/test.ts
@@ -51,6 +51,13 @@
     expect(getLastStep([broken, { type: 'no-target' }], { isRetryable: true })?.value).toEqual({ type: 'break' })
   })
 
+  // Guards against a stream that contains its events twice, or the error of another target.
+  it('breaks off a stream that began with events without ids, whatever could follow', () => {
+    const broken: AttemptResult = { type: 'lost', target: 'a', isStarted: true }
+    expect(getLastStep([broken], { isRetryable: true })?.value).toEqual({ type: 'break' })
+    expect(getLastStep([{ ...broken, lastEventId: '7' }, { type: 'failure', target: 'b' }], { isRetryable: true })?.value).toEqual({ type: 'break' })
+  })
+
   it('passes on the time after which a retry may find capacity', () => {
     expect(getLastStep([{ type: 'refused', retryAfterS: 2 }])?.value).toEqual({ type: 'refuse', reason: 'no-room', retryAfterS: 2 })
     expect(getLastStep([lost, { type: 'refused', retryAfterS: 2 }], { isRetryable: true })?.value).toEqual({ type: 'fail', reason: 'lost' })
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -7,8 +7,11 @@
 const KINDS: Array<[string, object]> = [['read', {}], ['book', { kind: 'non-idempotent' }], ['resume', { kind: 'stream', isResumable: true }], ['stream', { kind: 'stream' }]]
 const route = (service: number, name: string, overrides: object) => ({ name: `${service}-${name}`, host: 'a.example', pathPrefix: `/${service}/${name}/`, kind: 'idempotent' as const, timeoutMs: 3_000, priority: 1, split: [{ service: `s${service}`, weight: 1 }], maxAttempts: 2, isOpen: true, isResumable: false, ...overrides })
 const head = (callId: string, status = '200 OK', ...headers: string[]): string => [`HTTP/1.1 ${status}`, `call-id: ${callId}`, 'signature: s', ...headers, '', ''].join('\r\n')
+const chunk = (text: string): string => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`
+const STREAM_HEADERS = ['content-type: text/event-stream', 'transfer-encoding: chunked']
 /** Time in which the router reads what was written before more happens on the connection. */
 const READ_MS = 50
+const reset = (socket: Socket): void => { setTimeout(() => socket.resetAndDestroy(), READ_MS) }
 
 interface Answer { raw: string, status: number, body: string, end: 'closed' | 'reset' | 'open' }
 
@@ -102,3 +105,32 @@
     expect((await send(`${script(refuse).url}/book/`)).status).toBe(503)
   })
 })
+
+describe('a stream that breaks off', () => {
+  const event = (id: number | undefined, text: string): string => `${id === undefined ? '' : `id: ${id}\n`}data: ${text}\n\n`
+  const beginStream = (events: string): Respond => (socket, { callId }) => {
+    socket.write(head(callId, '200 OK', ...STREAM_HEADERS) + chunk(events))
+    reset(socket)
+  }
+  const EVENTS = event(1, 'a') + event(2, 'b')
+  const answerStream = (events: string): Respond => (socket, { callId }) => {
+    socket.write(head(callId, '200 OK', ...STREAM_HEADERS) + (events && chunk(events)) + chunk(''))
+  }
+
+  // Guards against a stream that contains the answer of another target, repeats events, or ends as if it were complete.
+  it.each<[string, string, Respond, number]>([
+    ['answers with an error', EVENTS, (socket, { callId }) => socket.write(head(callId, '500 Failed', 'content-length: 6') + 'failed'), 2],
+    ['answers with an error without a length', EVENTS, (socket, { callId }) => socket.end(head(callId, '500 Failed') + 'failed'), 2],
+    ['refuses the request', EVENTS, (socket, { callId }) => socket.write(head(callId, '503 Busy', 'not-run: 1', 'content-length: 0')), 2],
+    ['would begin anew, because the events have no ids', event(undefined, 'a'), answerStream(event(undefined, 'a') + event(undefined, 'b')), 1],
+    ['would repeat an event that has no id', event(1, 'a') + event(undefined, 'b'), answerStream(event(undefined, 'b') + event(2, 'c')), 1]
+  ])('is not completed by a target that %s', async (_title, events, second, attempts) => {
+    const { url, countAttempts } = script(beginStream(events), second)
+    expect([await send(`${url}/resume/`), countAttempts()]).toEqual([expect.objectContaining({ status: 200, body: chunk(events), end: 'closed' }), attempts])
+  })
+
+  it.each<[string, string]>([['the next events', event(3, 'c')], ['no further event', '']])('is completed by a target that answers the resume with %s', async (_title, events) => {
+    const { url } = script(beginStream(EVENTS), answerStream(events))
+    expect((await send(`${url}/resume/`)).body).toBe(chunk(EVENTS) + (events && chunk(events)) + chunk(''))
+  })
+})
