Resume a stream only with a response of its media type

Callers found the error text of a target in their stream, which then ended as if it were complete: when the target that was asked to resume a stream answered with a signed 200 of another type, its body was forwarded as events, and an empty body ended the stream.

A successful response to a resume must have the media type of the head that the caller got. Another one is refused like a response to another request: the attempt is lost, and the stream is resumed elsewhere or broken off. An event stream that ends at once is still the end of the stream, because the first target may have been lost after its last event.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -91,13 +91,14 @@
   }
 
   #handleHead (status: number, headers: IncomingHttpHeaders): void {
-    const { codec, callId, isStream } = this.#options
+    const { codec, callId, isStream, writer } = this.#options
     const parsedHeaders = codec.readResponseHeaders(headers)
     this.#options.onHead()
     const isSuccess = status >= 200 && status < 300
     // A target repeats the id of the request, also in refusals: any other response may be a late one to an earlier request.
     if ((parsedHeaders.callId ?? '') !== callId || (isSuccess && parsedHeaders.callId === undefined)) return this.#refuseResponse()
     if (isSuccess && (!parsedHeaders.isSigned || headers['content-encoding'] !== undefined)) return this.#refuseResponse()
+    if (isSuccess && !writer.isContinuation({ headers })) return this.#refuseResponse()
     if (parsedHeaders.isNotRun || status === TARGET_CHANGED_STATUS) this.#notRunResult = { retryAfterS: parsedHeaders.retryAfterS }
     this.#head = { status, headers }
     this.#isForwardedStream = isSuccess && isStream
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -60,6 +60,7 @@
   readonly #context: GatewayContext
   readonly #metadata: RequestMetadata
   readonly #record: CallRecord
+  readonly #writer: ResponseWriter
   #attempt: CallAttempt | undefined
   #isCallerGone = false
   #isExpired = false
@@ -68,6 +69,7 @@
     this.#request = request
     this.#response = response
     this.#context = context
+    this.#writer = new ResponseWriter(response)
     this.#metadata = context.codec.readRequestHeaders(request.headers)
     this.#record = new CallRecord(this.#metadata, context)
   }
@@ -156,7 +158,7 @@
       target: target.id,
       isStream: route.kind === 'stream',
       resumedEventId: lastEventId,
-      writer: new ResponseWriter(this.#response),
+      writer: this.#writer,
       onHead: () => this.#record.startResponse(),
       onProgress: () => record('read')
     })
@@ -198,7 +200,7 @@
       }
       case 'deliver': {
         const { status, headers, body } = this.#attempt!.failure!
-        new ResponseWriter(this.#response).sendBuffered({ status, headers }, body)
+        this.#writer.sendBuffered({ status, headers }, body)
         return this.#record.close({ outcome: 'complete', status, reason: 'The target reported a failure.' })
       }
       case 'refuse':
--- a/src/gateway/ResponseWriter/index.ts
+++ b/src/gateway/ResponseWriter/index.ts
@@ -12,8 +12,8 @@
  * @summary Writes the response of a target to the caller.
  *
  * @description
- * The head of a stream is sent with its first event, so that an attempt which fails earlier can be retried. A stream
- * that is resumed at another target keeps the head of the first one. A response without a length, which ends when the
+ * One for each call. The head of a stream is sent with its first event, so that an attempt which fails earlier can be
+ * retried. A stream that is resumed at another target keeps the head of the first one. A response without a length, which ends when the
  * target closes the connection, is forwarded with the same framing: nothing shows whether it is complete, so it must
  * not be framed as if it were.
  *
@@ -24,6 +24,7 @@
  */
 export class ResponseWriter {
   readonly #response: ServerResponse
+  #mediaType: string | undefined
 
   constructor (response: ServerResponse) {
     this.#response = response
@@ -34,6 +35,11 @@
     return this.#response.headersSent
   }
 
+  /** Whether the response can follow what was sent to the caller already: it must be of the same media type. */
+  isContinuation ({ headers }: Pick<Head, 'headers'>): boolean {
+    return !this.isStarted || parseMediaType(headers) === this.#mediaType
+  }
+
   /** Forwards stream events. Returns false if the target must be paused until `resume` is called (backpressure). */
   writeEvents (head: Head, bytes: Buffer, resume: () => void): boolean {
     this.#writeHead(head)
@@ -60,6 +66,7 @@
   #writeHead ({ status, headers }: Head): void {
     if (this.#response.headersSent) return
     if (!isFramed(headers)) this.#closeAfterResponse()
+    this.#mediaType = parseMediaType(headers)
     this.#response.writeHead(status, selectHeaders(headers))
   }
 
@@ -70,6 +77,10 @@
   }
 }
 
+function parseMediaType (headers: IncomingHttpHeaders): string | undefined {
+  return headers['content-type']?.split(';')[0].trim().toLowerCase()
+}
+
 /** Whether a length or chunked encoding marks the end of the response. */
 function isFramed (headers: IncomingHttpHeaders): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -113,8 +113,8 @@
     reset(socket)
   }
   const EVENTS = event(1, 'a') + event(2, 'b')
-  const answerStream = (events: string): Respond => (socket, { callId }) => {
-    socket.write(head(callId, '200 OK', ...STREAM_HEADERS) + (events && chunk(events)) + chunk(''))
+  const answerStream = (events: string, contentType = 'text/event-stream'): Respond => (socket, { callId }) => {
+    socket.write(head(callId, '200 OK', `content-type: ${contentType}`, 'transfer-encoding: chunked') + (events && chunk(events)) + chunk(''))
   }
 
   // Guards against a stream that contains the answer of another target, repeats events, or ends as if it were complete.
@@ -122,6 +122,8 @@
     ['answers with an error', EVENTS, (socket, { callId }) => socket.write(head(callId, '500 Failed', 'content-length: 6') + 'failed'), 2],
     ['answers with an error without a length', EVENTS, (socket, { callId }) => socket.end(head(callId, '500 Failed') + 'failed'), 2],
     ['refuses the request', EVENTS, (socket, { callId }) => socket.write(head(callId, '503 Busy', 'not-run: 1', 'content-length: 0')), 2],
+    ['answers with another type', EVENTS, answerStream('{"error":1}\n\n', 'application/json'), 2],
+    ['answers with another type and no body', EVENTS, answerStream('', 'application/json'), 2],
     ['would begin anew, because the events have no ids', event(undefined, 'a'), answerStream(event(undefined, 'a') + event(undefined, 'b')), 1],
     ['would repeat an event that has no id', event(1, 'a') + event(undefined, 'b'), answerStream(event(undefined, 'b') + event(2, 'c')), 1]
   ])('is not completed by a target that %s', async (_title, events, second, attempts) => {
