--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -10,6 +10,8 @@
   callId: string
   target: string
   isStream: boolean
+  /** Id of the event after which the attempt resumes a stream that the caller has received in part. */
+  resumedEventId: string | undefined
   writer: ResponseWriter
   /** Called when the head of a response has arrived. */
   onHead: () => void
@@ -33,8 +35,9 @@
  * @summary One attempt of a request at one target: forwards the response and reports how the attempt ended.
  *
  * @description
- * A successful response is forwarded only if it is signed by the target and belongs to this request. Streams are
- * forwarded event by event, other responses once they are complete.
+ * A response is believed only if it has the id of this request, a refusal ("not run") too: without it, the outcome is
+ * unknown. A successful response must also be signed by the target. Streams are forwarded event by event, other responses
+ * once they are complete.
  *
  * @example
  * const attempt = new CallAttempt(options)
@@ -57,6 +60,7 @@
 
   constructor (options: CallAttemptOptions) {
     this.#options = options
+    this.#lastEventId = options.resumedEventId
     this.result = new Promise(resolve => { this.#settle = resolve })
     this.exchange = new TargetExchange({
       onHead: (status, headers) => this.#handleHead(status, headers),
@@ -87,12 +91,14 @@
   }
 
   #handleHead (status: number, headers: IncomingHttpHeaders): void {
-    const { codec, callId, isStream } = this.#options
+    const { codec, callId, isStream, writer } = this.#options
     const parsedHeaders = codec.readResponseHeaders(headers)
     this.#options.onHead()
     const isSuccess = status >= 200 && status < 300
-    if (parsedHeaders.callId !== undefined ? parsedHeaders.callId !== callId : isSuccess) return this.#refuseResponse()
+    // A target repeats the id of the request, also in refusals: any other response may be a late one to an earlier request.
+    if ((parsedHeaders.callId ?? '') !== callId || (isSuccess && parsedHeaders.callId === undefined)) return this.#refuseResponse()
     if (isSuccess && (!parsedHeaders.isSigned || headers['content-encoding'] !== undefined)) return this.#refuseResponse()
+    if (isSuccess && !writer.isContinuation({ headers })) return this.#refuseResponse()
     if (parsedHeaders.isNotRun || status === TARGET_CHANGED_STATUS) this.#notRunResult = { retryAfterS: parsedHeaders.retryAfterS }
     this.#head = { status, headers }
     this.#isForwardedStream = isSuccess && isStream
@@ -108,9 +114,10 @@
   }
 
   #pipeEvents (chunk: Buffer): void {
-    const { bytes, lastEventId } = this.#splitter.add(chunk)
-    this.#lastEventId = lastEventId
-    if (bytes && !this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
+    const { bytes, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
+    if (!bytes) return
+    this.#lastEventId = isLastIdentified ? lastEventId : undefined
+    if (!this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
   }
 
   #handleEnd (): void {
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -60,6 +60,7 @@
   readonly #context: GatewayContext
   readonly #metadata: RequestMetadata
   readonly #record: CallRecord
+  readonly #writer: ResponseWriter
   #attempt: CallAttempt | undefined
   #isCallerGone = false
   #isExpired = false
@@ -68,6 +69,7 @@
     this.#request = request
     this.#response = response
     this.#context = context
+    this.#writer = new ResponseWriter(response)
     this.#metadata = context.codec.readRequestHeaders(request.headers)
     this.#record = new CallRecord(this.#metadata, context)
   }
@@ -155,7 +157,8 @@
       callId: this.#metadata.id,
       target: target.id,
       isStream: route.kind === 'stream',
-      writer: new ResponseWriter(this.#response),
+      resumedEventId: lastEventId,
+      writer: this.#writer,
       onHead: () => this.#record.startResponse(),
       onProgress: () => record('read')
     })
@@ -197,7 +200,7 @@
       }
       case 'deliver': {
         const { status, headers, body } = this.#attempt!.failure!
-        new ResponseWriter(this.#response).sendBuffered({ status, headers }, body)
+        this.#writer.sendBuffered({ status, headers }, body)
         return this.#record.close({ outcome: 'complete', status, reason: 'The target reported a failure.' })
       }
       case 'refuse':
