Log the drain of callers and the calls that it interrupts

An engineer who looked for a call without an answer could not see in the log of the stop whether the router had cut it: the log had "Stopping." and "Stopped." only.

--- a/src/instance/_lib/GracefulShutdown/index.ts
+++ b/src/instance/_lib/GracefulShutdown/index.ts
@@ -1,5 +1,6 @@
-import type { Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
+import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 
 interface GracefulShutdownOptions {
   /** Time between the start of the shutdown, from which the readiness check fails, and the close of the listener. */
@@ -8,9 +9,14 @@
   stopTimeoutMs: number
   /** Number of running calls with an idempotency key, including those whose callers disconnected. */
   countKeyedCalls: () => number
+  /** Reads the id under which a call is logged. */
+  readCallId: (request: IncomingMessage) => string
+  logger: ComponentLogger
 }
 
 const POLL_INTERVAL_MS = 20
+/** Bounds the log line that lists the interrupted calls. */
+const MAX_LOGGED_CALLS = 50
 
 /**
  * Shuts down the HTTP server for callers. The router keeps serving during the lame-duck period; its responses close
@@ -19,7 +25,7 @@
  */
 export class GracefulShutdown {
   readonly #options: GracefulShutdownOptions
-  readonly #active = new Set<ServerResponse>()
+  readonly #active = new Map<ServerResponse, IncomingMessage>()
   #server?: Server
   #isShuttingDown = false
 
@@ -34,27 +40,34 @@
   /** Tracks the requests of a server from now on. */
   watch (server: Server): void {
     this.#server = server
-    server.prependListener('request', (_request, response: ServerResponse) => {
-      this.#active.add(response)
+    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+      this.#active.set(response, request)
       response.once('close', () => this.#active.delete(response))
       if (this.#isShuttingDown) response.setHeader('connection', 'close')
     })
   }
 
   async close (): Promise<void> {
-    const { lameDuckMs, stopTimeoutMs } = this.#options
-    const deadlineAtMs = performance.now() + stopTimeoutMs
+    const { lameDuckMs, stopTimeoutMs, logger } = this.#options
+    const startedAtMs = performance.now()
+    const deadlineAtMs = startedAtMs + stopTimeoutMs
+    logger.info('The drain of callers begins.', { running: this.#countRunning(), limitMs: stopTimeoutMs })
     this.#isShuttingDown = true
-    for (const response of this.#active) if (!response.headersSent) response.setHeader('connection', 'close')
+    for (const response of this.#active.keys()) if (!response.headersSent) response.setHeader('connection', 'close')
     await wait(Math.min(lameDuckMs, stopTimeoutMs))
     this.#server?.close()
     while (this.#countRunning() > 0 && performance.now() < deadlineAtMs) {
       this.#server?.closeIdleConnections()
       await wait(POLL_INTERVAL_MS)
     }
+    logger.info('The drain of callers has ended.', { durationMs: Math.round(performance.now() - startedAtMs), interrupted: this.#countRunning(), requestIds: this.#listCallIds() })
     this.#server?.closeAllConnections()
   }
 
+  #listCallIds (): string[] {
+    return [...this.#active.values()].slice(0, MAX_LOGGED_CALLS).map(this.#options.readCallId)
+  }
+
   #countRunning (): number {
     return this.#active.size + this.#options.countKeyedCalls()
   }
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import type { IncomingMessage } from 'node:http'
 import type { HeaderCodec } from '../../contract/HeaderCodec'
 import type { DocumentCodec } from '../../contract/DocumentCodec'
 import type { GatewaySettings } from '../../contract/GatewaySettings'
@@ -88,6 +89,7 @@
   const monitor = new EventLoopMonitor(logger)
   monitor.start()
   lifecycle.register('event loop monitor', () => monitor.close())
+  const readCallId = ({ headers }: IncomingMessage): string => options.calls.readRequestHeaders(headers).id
   const context: GatewayContext = {
     ...options,
     codec: options.calls,
@@ -127,7 +129,7 @@
   const reader = createFallbackReader(registry, { source: options.source, onRead: handleTargets, logger })
   reader.start()
   lifecycle.register('list of targets', () => reader.close())
-  const shutdown = new GracefulShutdown({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS, countKeyedCalls: () => 0 })
+  const shutdown = new GracefulShutdown({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS, countKeyedCalls: () => 0, readCallId, logger })
   const readiness = new ReadinessCheck({
     obstacles: {
       'no-document': () => routeTable === undefined,
--- a/test/_lib/GatewayFleet/index.ts
+++ b/test/_lib/GatewayFleet/index.ts
@@ -93,6 +93,11 @@
     return answers.filter(({ status }) => status === 200).length
   }
 
+  /** Stops all routers gracefully. */
+  stopRouters (): Promise<void> {
+    return this.#gatewayLifecycle.close()
+  }
+
   async close (): Promise<void> {
     await this.#gatewayLifecycle.close()
     await this.tracer.close()
