Answer the calls that still run shortly before the limit of a stop

Callers whose calls still ran at the limit of a router's stop got a closed connection: neither a response nor a refusal, also where the call had not been sent to a target at all.

Cause: GracefulShutdown closed all connections at the limit, and nothing told the calls. 300 ms before it, GracefulShutdown now ends each running call. GatewayCall stops to wait for the body, for a placement or for a connection and responds 503 shutting-down with Retry-After, if no attempt was sent; 502 outcome-unknown if one was; a stream that has begun is broken off. A placement that is granted later is given back.

startRouter does not interrupt its calls yet: CallHandler's signals end a call as one whose caller has disconnected, down to the relays and the queue.

--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -63,6 +63,10 @@
   #attempt: CallAttempt | undefined
   #isCallerGone = false
   #isExpired = false
+  #isInterrupted = false
+  #stopWaiting!: () => void
+  /** Resolves when the router interrupts the call. */
+  readonly #interruption = new Promise<undefined>(resolve => { this.#stopWaiting = () => resolve(undefined) })
 
   constructor (request: IncomingMessage, response: ServerResponse, context: GatewayContext) {
     this.#request = request
@@ -83,6 +87,13 @@
     }
   }
 
+  /** Ends the call with its final response, because the router stops. */
+  stop (): void {
+    this.#isInterrupted = true
+    this.#expire()
+    this.#stopWaiting()
+  }
+
   async #admit (): Promise<AdmittedCall> {
     const { getTable, retryBudget, getShedRetryAfterS } = this.#context
     const metadata = this.#metadata
@@ -94,7 +105,8 @@
     if (!route) throw new AppError('not-found', 'No route matches the host and path of the request.')
     const account = metadata.apiKey === undefined ? undefined : table.findAccount(metadata.apiKey)
     if (account === undefined && !route.isOpen && table.document.accounts.length > 0) throw new AppError('unauthenticated', 'The API key is missing or unknown.')
-    const body = await readBody(this.#request, { maxBytes: table.document.limits.maxBodyBytes })
+    const body = await Promise.race([readBody(this.#request, { maxBytes: table.document.limits.maxBodyBytes }), this.#interruption])
+    if (!body) throw createShutdownError()
     const service = chooseService(route.split, Math.random())
     retryBudget.recordRequest(service, this.#record.arrivedAtMs)
     this.#record.setAdmission({ route: route.name, account, service, version: table.document.version })
@@ -122,7 +134,13 @@
 
   async #runAttempt (call: AdmittedCall, next: NextAttempt): Promise<AttemptResult> {
     this.#record.startAttempt()
-    const placement = await this.#place(call, next)
+    const placing = this.#place(call, next)
+    const placement = await Promise.race([placing, this.#interruption])
+    if (!placement) {
+      withdrawPlacement(placing)
+      this.#record.addPlacement(undefined)
+      return { type: 'expired', isSent: false, isStarted: this.#response.headersSent }
+    }
     this.#record.addPlacement(placement.type === 'place' ? placement.target.id : undefined, 'estimate' in placement ? placement.estimate : undefined)
     if (placement.type !== 'place') return placement
     if (this.#isCallerGone || this.#isExpired) {
@@ -201,8 +219,10 @@
         return this.#record.close({ outcome: 'complete', status, reason: 'The target reported a failure.' })
       }
       case 'refuse':
+        if (this.#isInterrupted) throw createShutdownError()
         throw new AppError('no-target', `The request has not run: ${conclusion.reason}.`, { retryAfterS: conclusion.retryAfterS ?? RETRY_AFTER_S })
       case 'fail':
+        if (this.#isInterrupted) throw new AppError('outcome-unknown', 'The request may have run: this router stopped before it received the response.')
         throw new AppError(conclusion.reason === 'expired' ? 'target-timeout' : 'target-failed', 'No valid and complete response was received from the target.')
       case 'break':
         this.#response.destroy()
@@ -220,6 +240,15 @@
   await setImmediate()
 }
 
+function createShutdownError (): AppError {
+  return new AppError('shutting-down', 'The request has not run: this router is stopping.', { retryAfterS: RETRY_AFTER_S })
+}
+
+/** Releases a placement that is granted after its call has ended. */
+function withdrawPlacement (placing: ReturnType<typeof placeCall>): void {
+  placing.then(placement => { if (placement.type === 'place') placement.record('ended') }, () => {})
+}
+
 function convertToProgress (result: AttemptResult): Parameters<Placement['record']>[0] {
   if (result.type === 'unsent') return 'unreachable'
   return result.type === 'lost' ? 'lost' : 'ended'
--- a/src/instance/_lib/GracefulShutdown/index.ts
+++ b/src/instance/_lib/GracefulShutdown/index.ts
@@ -12,16 +12,21 @@
   /** Reads the id under which a call is logged. */
   readCallId: (request: IncomingMessage) => string
   logger: ComponentLogger
+  /** Ends the running calls with their final responses. Called shortly before the time limit. */
+  interruptCalls: () => void
 }
 
 const POLL_INTERVAL_MS = 20
+/** Part of the time limit in which the final responses of interrupted calls are written. */
+const RESPONSE_MARGIN_MS = 300
 /** Bounds the log line that lists the interrupted calls. */
 const MAX_LOGGED_CALLS = 50
 
 /**
  * Shuts down the HTTP server for callers. The router keeps serving during the lame-duck period; its responses close
- * their connections, so that callers reconnect to other routers. Requests that are still running at the time limit of
- * the shutdown are interrupted.
+ * their connections, so that callers reconnect to other routers. Requests that are still running shortly before the time
+ * limit are interrupted: each gets a final response that says whether it may have run. Connections whose response is not
+ * written at the limit are closed.
  */
 export class GracefulShutdown {
   readonly #options: GracefulShutdownOptions
@@ -48,7 +53,7 @@
   }
 
   async close (): Promise<void> {
-    const { lameDuckMs, stopTimeoutMs, logger } = this.#options
+    const { lameDuckMs, stopTimeoutMs, logger, interruptCalls } = this.#options
     const startedAtMs = performance.now()
     const deadlineAtMs = startedAtMs + stopTimeoutMs
     logger.info('The drain of callers begins.', { running: this.#countRunning(), limitMs: stopTimeoutMs })
@@ -56,12 +61,19 @@
     for (const response of this.#active.keys()) if (!response.headersSent) response.setHeader('connection', 'close')
     await wait(Math.min(lameDuckMs, stopTimeoutMs))
     this.#server?.close()
+    await this.#waitForCalls(deadlineAtMs - RESPONSE_MARGIN_MS)
+    const interrupted = { interrupted: this.#countRunning(), requestIds: this.#listCallIds() }
+    interruptCalls()
+    await this.#waitForCalls(deadlineAtMs)
+    logger.info('The drain of callers has ended.', { durationMs: Math.round(performance.now() - startedAtMs), ...interrupted, cut: this.#countRunning() })
+    this.#server?.closeAllConnections()
+  }
+
+  async #waitForCalls (deadlineAtMs: number): Promise<void> {
     while (this.#countRunning() > 0 && performance.now() < deadlineAtMs) {
       this.#server?.closeIdleConnections()
       await wait(POLL_INTERVAL_MS)
     }
-    logger.info('The drain of callers has ended.', { durationMs: Math.round(performance.now() - startedAtMs), interrupted: this.#countRunning(), requestIds: this.#listCallIds() })
-    this.#server?.closeAllConnections()
   }
 
   #listCallIds (): string[] {
--- a/src/instance/_lib/GracefulShutdown/test.ts
+++ b/src/instance/_lib/GracefulShutdown/test.ts
@@ -13,7 +13,7 @@
   it('logs the running calls, the limit, and the ids of the calls that it interrupts', async () => {
     const lines: LogLine[] = []
     const log = (message: string, fields?: Record<string, unknown>): void => { lines.push({ message, fields }) }
-    const shutdown = new GracefulShutdown({ lameDuckMs: 10, stopTimeoutMs: 50, countKeyedCalls: () => 0, readCallId: request => String(request.headers['call-id']), logger: { error: log, warn: log, info: log, debug: log } })
+    const shutdown = new GracefulShutdown({ lameDuckMs: 10, stopTimeoutMs: 50, countKeyedCalls: () => 0, readCallId: request => String(request.headers['call-id']), logger: { error: log, warn: log, info: log, debug: log }, interruptCalls: () => {} })
     let arrivals = 0
     const server = createServer(() => { arrivals++ })
     shutdown.watch(server)
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -103,8 +103,9 @@
     loads,
     connections
   }
+  const calls = new Set<GatewayCall>()
   const front = await startHttpServer(settings.front, [
-    { method: 'all', path: '*', handler: (request, response) => new GatewayCall(request, response, context).run() }
+    { method: 'all', path: '*', handler: (request, response) => runCall(new GatewayCall(request, response, context), calls) }
   ])
   front.server.requestTimeout = 0
   monitor.closeShedConnections(front.server)
@@ -129,7 +130,7 @@
   const reader = createFallbackReader(registry, { source: options.source, onRead: handleTargets, logger })
   reader.start()
   lifecycle.register('list of targets', () => reader.close())
-  const shutdown = new GracefulShutdown({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS, countKeyedCalls: () => 0, readCallId, logger })
+  const shutdown = new GracefulShutdown({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS, countKeyedCalls: () => 0, readCallId, logger, interruptCalls: () => calls.forEach(call => call.stop()) })
   const readiness = new ReadinessCheck({
     obstacles: {
       'no-document': () => routeTable === undefined,
@@ -154,6 +155,12 @@
   return { addSeeds: hosts => registry.addReplicas(hosts) }
 }
 
+/** Runs a call, and keeps it in the set of running calls until it has ended. */
+async function runCall (call: GatewayCall, calls: Set<GatewayCall>): Promise<void> {
+  calls.add(call)
+  await call.run().finally(() => calls.delete(call))
+}
+
 interface CreateRegistryClientOptions extends Pick<ConstructorParameters<typeof RegistryClient>[0], 'onDocument' | 'onTargets'> {
   logger: ComponentLogger
   loads: TargetLoads
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -81,7 +81,7 @@
   registerRouterMetrics(metrics, { view, gate })
   const handleCompletion = observeCalls(observer, (request, response, observation) => callHandler.handleCompletion(request, response, observation))
   const handleService = observeCalls(observer, (request, response, observation) => callHandler.handleService(request, response, observation))
-  const shutdown = new GracefulShutdown({ ...settings, countKeyedCalls: () => keyedCalls.countRunning(), readCallId: ({ headers }) => String(headers.traceparent ?? ''), logger })
+  const shutdown = new GracefulShutdown({ ...settings, countKeyedCalls: () => keyedCalls.countRunning(), readCallId: ({ headers }) => String(headers.traceparent ?? ''), logger, interruptCalls: () => {} })
   const { address: http, server } = await startHttpServer(settings.http, [
     { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
     { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 && !shutdown.isShuttingDown ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
--- /dev/null
+++ b/test/gatewayStop.test.ts
@@ -0,0 +1,51 @@
+import { connect } from 'node:net'
+import type { ServerResponse } from 'node:http'
+import { GatewayFleet } from './_lib/GatewayFleet'
+import { waitFor } from './_lib/waitFor'
+
+const createRoute = (name: string, overrides: object = {}) => ({ name, host: 'a.example', pathPrefix: `/${name}/`, kind: 'idempotent' as const, timeoutMs: 20_000, priority: 1, split: [{ service: 's', weight: 1 }], maxAttempts: 2, isOpen: true, isResumable: false, ...overrides })
+
+interface RunningCall {
+  /** All bytes that the caller has received; complete when the connection has closed. */
+  text: string
+  isClosed: boolean
+}
+
+/** Sends a request on a connection of its own. With an incomplete body the router waits for the rest. */
+function startCall (fleet: GatewayFleet, path: string, { isBodyComplete = true } = {}): RunningCall {
+  const call: RunningCall = { text: '', isClosed: false }
+  const socket = connect(Number(new URL(fleet.url).port), '127.0.0.1', () => socket.write(`POST ${path} HTTP/1.1\r\nhost: a.example\r\ncall-id: call-${path}\r\ncontent-length: ${isBodyComplete ? 1 : 2}\r\n\r\nx`))
+  socket.on('data', chunk => { call.text += chunk })
+  socket.on('error', () => {})
+  socket.on('close', () => { call.isClosed = true })
+  return call
+}
+
+describe('a router that stops', () => {
+  // Guards against a call that gets neither a response nor a refusal, because its connection is closed at the limit.
+  it('answers the calls that still run shortly before the limit: not run, outcome unknown, or a broken stream', async () => {
+    const fleet = await GatewayFleet.start()
+    try {
+      const running: ServerResponse[] = []
+      await fleet.startTarget('t1', (request, response) => {
+        running.push(response)
+        if (request.url === '/stream/') response.writeHead(200, GatewayFleet.createResponseHeaders(request)).write('id: 1\ndata: a\n\n')
+      })
+      await fleet.setDocument({ version: 1, services: [{ name: 's', maxConnections: 4 }], routes: [createRoute('read'), createRoute('book', { kind: 'non-idempotent' }), createRoute('stream', { kind: 'stream' })] })
+      await fleet.waitUntilReady()
+      const unread = startCall(fleet, '/book/', { isBodyComplete: false })
+      const sent = [startCall(fleet, '/read/'), startCall(fleet, '/read/'), startCall(fleet, '/book/')]
+      const stream = startCall(fleet, '/stream/')
+      await waitFor('the calls to run', async () => running.length === 4 && stream.text.includes('data: a'))
+      const unconnected = startCall(fleet, '/book/')
+      await fleet.stopRouters()
+      await waitFor('the connections to close', async () => [unread, unconnected, ...sent, stream].every(({ isClosed }) => isClosed))
+      for (const { text } of [unread, unconnected]) expect(text).toMatch(/^HTTP\/1.1 503 [^]*retry-after: 0.50[^]*"kind":"shutting-down"[^]*"outcome":"not-run"/)
+      for (const { text } of sent) expect(text).toMatch(/^HTTP\/1.1 502 [^]*"kind":"outcome-unknown"[^]*"outcome":"unknown"/)
+      expect(stream.text).not.toMatch(/\r\n0\r\n/)
+      expect(fleet.logLines.find(({ message }) => message === 'The drain of callers has ended.')?.fields).toMatchObject({ interrupted: 6, cut: 0 })
+    } finally {
+      await fleet.close()
+    }
+  }, 30_000)
+})
