--- a/test/_lib/GatewayFleet/index.ts
+++ b/test/_lib/GatewayFleet/index.ts
@@ -38,6 +38,8 @@
   #nextDisk = 0
   /** Address of the first router. */
   url = ''
+  /** Addresses of all routers. */
+  readonly urls: string[] = []
   /** Readiness checks of the routers. */
   readonly readyUrls: string[] = []
 
@@ -114,7 +116,8 @@
     const settings = GatewaySettings.parse({
       instance: `edge-${index + 1}`, zone: 'z1', front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, seeds: seeds.map(seed => `${seed}:1`), linkPort: this.#ports[0], list: '127.0.0.1:1', clusterKey: CLUSTER_KEY, graceS: 4
     })
-    this.url ||= `http://127.0.0.1:${front}`
+    this.urls.push(`http://127.0.0.1:${front}`)
+    this.url = this.urls[0]
     this.readyUrls.push(`http://127.0.0.1:${ready}/readyz`)
     const metrics = new PrometheusMetrics({ instance: settings.instance, zone: 'z1' })
     await startGateway(settings, { ...plainCodecs, source: { list: async () => this.targets }, logger: this.#createLogger('router'), metrics, tracer: this.tracer, lifecycle: this.#gatewayLifecycle })
