Give the stand-in engine prompts on which it crashes

The stand-in could truncate a stream but not crash, so no test or load run against it could show a query of death. The setting crashPrefixes names prompt prefixes by their hash: when the engine begins to answer one, it resets all its connections, loses its requests and its prefix cache, and refuses connections for crashMs. The test of startEngine that comes with it passes; without crashPrefixes the engine behaves as before (its 6 other tests pass).

--- a/src/standIn/EngineBatch/index.ts
+++ b/src/standIn/EngineBatch/index.ts
@@ -48,6 +48,13 @@
     return () => this.#remove(request)
   }
 
+  /** Removes all requests. */
+  clear (): void {
+    this.#waiting.clear()
+    this.#running.clear()
+    this.#admitWaiting()
+  }
+
   #remove (request: BatchRequest): void {
     this.#waiting.delete(request)
     for (const running of this.#running) if (running.request === request) this.#running.delete(running)
--- a/src/standIn/EngineRecord/index.ts
+++ b/src/standIn/EngineRecord/index.ts
@@ -12,7 +12,7 @@
   isPrefixCached: boolean
   resumeFrom: number
   tokens: number
-  status: 'waiting-or-running' | 'complete' | 'cancelled' | 'truncated'
+  status: 'waiting-or-running' | 'complete' | 'cancelled' | 'truncated' | 'crashed'
   /** Arrival time of the request in wall-clock milliseconds since the epoch. */
   atMs: number
 }
--- a/src/standIn/EngineSettings/index.ts
+++ b/src/standIn/EngineSettings/index.ts
@@ -38,6 +38,10 @@
   truncateRate: z.number().min(0).max(1).default(0),
   /** How a truncated stream ends: by a reset of the connection, or by a regular end of the response. */
   truncateBy: z.enum(['reset', 'end']).default('reset'),
+  /** Hashes of the prompt prefixes on which the engine crashes when it begins to answer them. */
+  crashPrefixes: z.array(z.number().int().nonnegative()).default([]),
+  /** Time for which a crashed engine refuses connections. */
+  crashMs: z.number().nonnegative().default(3_000),
   /** Whether commands with an old fencing token are refused. */
   isFencingChecked: z.boolean().default(true),
   /** Duration of a command. */
--- a/src/standIn/PrefixCache/index.ts
+++ b/src/standIn/PrefixCache/index.ts
@@ -31,6 +31,10 @@
     return isCached
   }
 
+  clear (): void {
+    while (this.#prefixes.size > 0) this.#evictOldest()
+  }
+
   #evictOldest (): void {
     const [oldest] = this.#prefixes
     this.#prefixes.delete(oldest)
--- a/src/standIn/startEngine/index.ts
+++ b/src/standIn/startEngine/index.ts
@@ -7,8 +7,8 @@
 import { readBody } from '../../instance/readBody'
 import { startHttpServer } from '../../instance/startHttpServer'
 import { CompletionRequest } from '../_lib/CompletionRequest'
-import { createCloseFunction } from '../_lib/createCloseFunction'
 import { createCompletionFormat } from '../_lib/createCompletionFormat'
+import { RestartableServer } from '../_lib/RestartableServer'
 import { createRandom } from '../createRandom'
 import { sendJson } from '../_lib/sendJson'
 import { CacheEventLog } from '../CacheEventLog'
@@ -40,6 +40,8 @@
  * - `GET /load`, `GET /cache-events?after=<seq>` and `GET /health` report the state of the engine.
  * - `POST /commands` runs commands with a fencing token.
  * - `GET /record` lists the received requests and commands.
+ * - A request with one of the `crashPrefixes` crashes the engine when it begins to answer: all connections are reset, new
+ *   ones are refused for `crashMs`, and running requests and the prefix cache are lost.
  * - `PUT /options` changes settings while the engine runs, except the seed, cache size, models and fencing.
  *
  * `x-request-id` is echoed. A prefix is identified by the xxHash32 (seed 0) of the first `prefixChars` characters of the
@@ -76,11 +78,14 @@
     { method: 'post', path: '/v1/completions', handler: (request, response) => engine.handleCompletion(request, response) },
     { method: 'post', path: '/v1/chat/completions', handler: (request, response) => engine.handleCompletion(request, response) }
   ])
-  return { address: bound, close: createCloseFunction(server) }
+  const restartable = new RestartableServer(server, bound)
+  engine.onCrash = downMs => restartable.abort(downMs)
+  return { address: bound, close: () => restartable.close() }
 }
 
 class Engine {
   settings: EngineSettings
+  onCrash: (downMs: number) => void = () => {}
   readonly record = new EngineRecord()
   readonly events: CacheEventLog
   readonly #hash: (text: string) => number
@@ -148,6 +153,10 @@
       prefillMs: this.settings.firstTokenMs + this.settings.prefillTokenMs * (promptTokens - cachedTokens),
       tokens,
       onToken: step => {
+        if (step === 0 && this.settings.crashPrefixes.includes(prefixHash)) {
+          entry.status = 'crashed'
+          return this.#abort()
+        }
         const index = body.resume_from + step
         const token = createToken(promptHash, index)
         if (!body.stream) text += token
@@ -174,6 +183,12 @@
     })
   }
 
+  #abort (): void {
+    this.#batch.clear()
+    this.#cache.clear()
+    this.onCrash(this.settings.crashMs)
+  }
+
   /** Returns the step at which the stream is truncated, or undefined if it is not truncated. */
   #chooseTruncation (isStream: boolean, tokens: number): number | undefined {
     if (!isStream || this.settings.truncateRate === 0 || this.#random() >= this.settings.truncateRate) return undefined
--- a/src/standIn/startEngine/test.ts
+++ b/src/standIn/startEngine/test.ts
@@ -76,4 +76,28 @@
     expect(text).not.toContain('[DONE]')
     await engine.close()
   })
+
+  // Guards against a stand-in that can't show a query of death: one request whose crash ends the calls beside it.
+  it('crashes when it begins to answer a prompt with a crash prefix, and accepts connections again after crashMs', async () => {
+    const { engine, url, get, post } = await openEngine({ firstTokenMs: 30, tokenMs: 5, prefixChars: 8 })
+    const complete = (prompt: string): Promise<string> => post('/v1/completions', { model: 'm', prompt, max_tokens: 50, stream: true }).then(response => response.text()).catch(() => 'reset')
+    const whole = await complete('0 is sound')
+    expect(whole).toContain('[DONE]')
+    await complete('prefix-0 request 0')
+    const crashPrefix = (await get('/record')).requests[1].prefixHash
+    await fetch(`${url}/options`, { method: 'PUT', body: JSON.stringify({ crashPrefixes: [crashPrefix], crashMs: 300 }) })
+    const sound = complete('1 is sound')
+    await new Promise(resolve => setTimeout(resolve, 60))
+    const sentAtMs = performance.now()
+    expect(await Promise.all([sound, complete('prefix-0 request 1')])).toEqual(['reset', 'reset'])
+    // The prefill comes first: the engine crashes as the answer begins, not as the request arrives.
+    expect(performance.now() - sentAtMs).toBeGreaterThan(25)
+    expect(await complete('2 is sound')).toBe('reset')
+    await new Promise(resolve => setTimeout(resolve, 350))
+    expect(await complete('3 is sound')).toContain('[DONE]')
+    const { requests } = await get('/record')
+    expect(requests.map(({ status }: { status: string }) => status)).toEqual(['complete', 'complete', 'cancelled', 'crashed', 'complete'])
+    expect(requests.map(({ isPrefixCached }: { isPrefixCached: boolean }) => isPrefixCached)).toEqual([false, false, false, true, false])
+    await engine.close()
+  })
 })
