--- /dev/null
+++ b/src/routing/PromptQuarantine/index.ts
@@ -0,0 +1,251 @@
+import type { PromptPart } from '../../contract/PromptPart'
+import type { SuspectPart } from '../../contract/SuspectPart'
+import type { Suspicion } from './_lib/Suspicion'
+
+interface PromptQuarantineOptions {
+  /**
+   * Time in milliseconds by which probes are later than the end of a block. Instances that don't see the calls of the
+   * whole fleet probe later, so that not each of them probes the same part.
+   */
+  probeDelayMs?: number
+}
+
+interface CrashEvent {
+  id: number
+  lastMs: number
+  targets: Set<string>
+}
+
+type Prompt = { service: string, parts: readonly PromptPart[] }
+
+/** A single crash is too little evidence: it puts all parts of the requests at the target under suspicion. */
+const BLOCKED_FROM_CRASHES = 2
+/** Crashes of several targets within this time, as in the power loss of a zone, count once per part. */
+const EVENT_WINDOW_MS = 300
+/** From this number of targets on, the crashes of an event are not caused by a request and its retry. */
+const MASS_EVENT_TARGETS = 3
+/** Block time while other parts explain the same crashes. Parts that were answered before are probed first. */
+const ANSWERED_BLOCK_MS = 300
+const EARLY_BLOCK_MS = 2_000
+/** From this number of crashes on, a part that alone explains its crashes is blocked for the long time. */
+const LONG_BLOCK_CRASHES = 3
+const LONG_BLOCK_MS = 30_000
+/** Each further crash is caused by a probe, so it makes the block this many times as long. */
+const BLOCK_GROWTH = 4
+const MAX_BLOCK_MS = 24 * 3_600_000
+/** A probe that has neither been answered nor crashed its target after this time has had no result. */
+const PROBE_TIMEOUT_MS = 3_000
+const SUSPICION_TTL_MS = 600_000
+const BLOCK_TTL_MS = 3_600_000
+const MAX_SUSPICIONS = 1_000
+const MAX_ANSWERED_PARTS = 4_096
+const MAX_TARGETS = 8
+
+/**
+ * @name PromptQuarantine
+ * @category Routing
+ * @summary Decides which prompt parts are refused because targets crash when they answer requests with them.
+ *
+ * @description
+ * Every part except the last of a request that was about to be answered when its target crashed is suspected. A later
+ * answer to a request with the part clears it. From the second crash on without an answer in between, requests with the
+ * part are refused. After the block time one request is let through as a probe: an answer clears the part, a crash
+ * blocks it for several times as long. While several parts explain the same crashes, they are probed early and one at a
+ * time. Entries expire, and their number is bounded. The class does no I/O and reads no clock; times are milliseconds of
+ * a monotonic clock.
+ *
+ * @example
+ * quarantine.recordCrash({ service: 's', target: 'i-1', prompts: [parts] }, nowMs) // parts that are blocked from now on
+ * quarantine.findBlocked({ service: 's', parts }, nowMs) // undefined if the request may be placed
+ */
+export class PromptQuarantine {
+  readonly #probeDelayMs: number
+  readonly #suspicions = new Map<string, Suspicion>()
+  /** Parts that were answered, the least recently answered first. */
+  readonly #answered = new Set<string>()
+  /** Probe in flight of each service. */
+  readonly #probes = new Map<string, { part: string, untilMs: number }>()
+  readonly #events = new Map<string, CrashEvent>()
+  #nextEvent = 1
+
+  constructor ({ probeDelayMs = 0 }: PromptQuarantineOptions = {}) {
+    this.#probeDelayMs = probeDelayMs
+  }
+
+  /**
+   * Records that a target crashed while requests with these prompts were about to be answered. `startedMs` has the time
+   * of placement of each request. Returns the parts that are blocked from now on and were not before.
+   */
+  recordCrash ({ service, target, prompts, startedMs }: { service: string, target: string, prompts: readonly (readonly PromptPart[])[], startedMs?: readonly number[] }, nowMs: number): SuspectPart[] {
+    this.#expire(nowMs)
+    const event = this.#findEvent(service, target, nowMs)
+    const startedByPart = new Map<string, number>()
+    for (const [index, parts] of prompts.entries()) {
+      for (const part of listSharedParts(parts)) startedByPart.set(part, Math.max(startedByPart.get(part) ?? -Infinity, startedMs?.[index] ?? -Infinity))
+    }
+    const repeatedId = this.#nextEvent++
+    const counted: Suspicion[] = []
+    for (const [part, latestStartMs] of startedByPart) {
+      const suspicion = this.#getSuspicion({ service, part })
+      // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
+      const isRepeated = suspicion.events.includes(event.id)
+      const isEvidence = !isRepeated || (latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS)
+      suspicion.targets = [...suspicion.targets.filter(id => id !== target), target].slice(-MAX_TARGETS)
+      if (!isEvidence) continue
+      suspicion.events.push(isRepeated ? repeatedId : event.id)
+      suspicion.crashes++
+      suspicion.lastCrashMs = nowMs
+      counted.push(suspicion)
+      if (this.#probes.get(service)?.part === part) this.#probes.delete(service)
+    }
+    this.#updateBlocks(service)
+    this.#evict()
+    return counted.filter(({ crashes }) => crashes === BLOCKED_FROM_CRASHES).map(suspicion => this.#convert(suspicion, nowMs))
+  }
+
+  /** Records that a target began to answer at `nowMs` and survived it. Returns the parts that were blocked until now. */
+  recordAnswer ({ service, parts }: Prompt, nowMs: number): SuspectPart[] {
+    const cleared: SuspectPart[] = []
+    for (const part of listSharedParts(parts)) {
+      const key = formatKey(service, part)
+      this.#answered.delete(key)
+      this.#answered.add(key)
+      const suspicion = this.#suspicions.get(key)
+      if (!suspicion || nowMs <= suspicion.lastCrashMs) continue
+      if (isBlockable(suspicion)) cleared.push(this.#convert(suspicion, nowMs))
+      this.#remove(suspicion)
+    }
+    if (this.#answered.size > MAX_ANSWERED_PARTS) for (const key of this.#answered) if (this.#answered.delete(key) && this.#answered.size <= MAX_ANSWERED_PARTS) break
+    return cleared
+  }
+
+  /** Finds a part because of which the request must be refused. */
+  findBlocked ({ service, parts }: Prompt, nowMs: number): SuspectPart | undefined {
+    const suspicions = this.#findBlockable({ service, parts })
+    if (suspicions.length === 0) return undefined
+    const blocked = suspicions.find(suspicion => nowMs < this.#getProbeMs(suspicion))
+    if (blocked) return this.#convert(blocked, nowMs)
+    // A request with several such parts would not show which of them is at fault.
+    const isProbeAllowed = suspicions.length === 1 && !(nowMs < (this.#probes.get(service)?.untilMs ?? -Infinity))
+    return isProbeAllowed ? undefined : this.#convert(suspicions[0], nowMs)
+  }
+
+  /** Records that a request has been placed. Returns the part for which the request is the probe. */
+  recordPlacement ({ service, parts }: Prompt, nowMs: number): SuspectPart | undefined {
+    const [suspicion] = this.#findBlockable({ service, parts })
+    if (!suspicion) return undefined
+    this.#probes.set(service, { part: suspicion.part, untilMs: nowMs + PROBE_TIMEOUT_MS })
+    return this.#convert(suspicion, nowMs)
+  }
+
+  list (nowMs: number): SuspectPart[] {
+    this.#expire(nowMs)
+    return [...this.#suspicions.values()].map(suspicion => this.#convert(suspicion, nowMs))
+  }
+
+  /** Adopts what another instance knows: of each part the higher count and the later end of the block. */
+  merge (entries: readonly SuspectPart[], nowMs: number): void {
+    for (const { service, part, crashes, blockedMs, targets } of entries) {
+      const suspicion = this.#getSuspicion({ service, part })
+      suspicion.crashes = Math.max(suspicion.crashes, crashes)
+      suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, nowMs)
+      suspicion.mergedUntilMs = Math.max(suspicion.mergedUntilMs, nowMs + blockedMs)
+      suspicion.targets = [...new Set([...targets, ...suspicion.targets])].slice(-MAX_TARGETS)
+    }
+    this.#evict()
+  }
+
+  /** Replaces all entries by those of another instance. */
+  replace (entries: readonly SuspectPart[], nowMs: number): void {
+    this.#suspicions.clear()
+    this.#probes.clear()
+    this.merge(entries, nowMs)
+  }
+
+  /** Removes a part at the request of an operator. Returns whether it was suspected. */
+  release ({ service, part }: { service: string, part: string }): boolean {
+    const suspicion = this.#suspicions.get(formatKey(service, part))
+    if (suspicion) this.#remove(suspicion)
+    return suspicion !== undefined
+  }
+
+  #findBlockable ({ service, parts }: Prompt): Suspicion[] {
+    if (this.#suspicions.size === 0) return []
+    return listSharedParts(parts).flatMap(part => this.#suspicions.get(formatKey(service, part)) ?? []).filter(isBlockable)
+  }
+
+  #getProbeMs ({ blockedUntilMs, mergedUntilMs }: Suspicion): number {
+    return Math.max(blockedUntilMs, mergedUntilMs) + this.#probeDelayMs
+  }
+
+  #convert (suspicion: Suspicion, nowMs: number): SuspectPart {
+    const { service, part, crashes, targets, blockedUntilMs, mergedUntilMs } = suspicion
+    const probe = this.#probes.get(service)
+    const untilMs = Math.max(blockedUntilMs, mergedUntilMs, isBlockable(suspicion) ? probe?.untilMs ?? -Infinity : -Infinity)
+    return { service, part, crashes, blockedMs: Math.max(0, untilMs - nowMs), targets: [...targets] }
+  }
+
+  #findEvent (service: string, target: string, nowMs: number): CrashEvent {
+    let event = this.#events.get(service)
+    if (!event || nowMs - event.lastMs > EVENT_WINDOW_MS) event = { id: this.#nextEvent++, lastMs: nowMs, targets: new Set() }
+    event.lastMs = nowMs
+    event.targets.add(target)
+    this.#events.set(service, event)
+    return event
+  }
+
+  #getSuspicion ({ service, part }: { service: string, part: string }): Suspicion {
+    const key = formatKey(service, part)
+    let suspicion = this.#suspicions.get(key)
+    if (!suspicion) {
+      suspicion = { service, part, crashes: 0, events: [], targets: [], lastCrashMs: -Infinity, blockedUntilMs: -Infinity, mergedUntilMs: -Infinity, wasAnswered: this.#answered.has(key) }
+      this.#suspicions.set(key, suspicion)
+    }
+    return suspicion
+  }
+
+  #remove ({ service, part }: Suspicion): void {
+    this.#suspicions.delete(formatKey(service, part))
+    if (this.#probes.get(service)?.part === part) this.#probes.delete(service)
+    this.#updateBlocks(service)
+  }
+
+  #updateBlocks (service: string): void {
+    const blockable = [...this.#suspicions.values()].filter(suspicion => suspicion.service === service && isBlockable(suspicion))
+    for (const suspicion of blockable) {
+      const isAmbiguous = blockable.some(other => other !== suspicion && suspicion.events.length > 0 && suspicion.events.every(id => other.events.includes(id)))
+      suspicion.blockedUntilMs = suspicion.lastCrashMs + computeBlockMs(suspicion, isAmbiguous)
+    }
+  }
+
+  #expire (nowMs: number): void {
+    for (const suspicion of [...this.#suspicions.values()]) {
+      const ttlMs = isBlockable(suspicion) ? BLOCK_TTL_MS : SUSPICION_TTL_MS
+      if (nowMs - Math.max(suspicion.lastCrashMs, suspicion.blockedUntilMs, suspicion.mergedUntilMs) > ttlMs) this.#remove(suspicion)
+    }
+  }
+
+  /** Evicts the suspicions with the fewest crashes, of these the oldest. */
+  #evict (): void {
+    if (this.#suspicions.size <= MAX_SUSPICIONS) return
+    const weakest = [...this.#suspicions.values()].sort((a, b) => a.crashes - b.crashes || a.lastCrashMs - b.lastCrashMs)
+    for (const suspicion of weakest.slice(0, this.#suspicions.size - MAX_SUSPICIONS)) this.#remove(suspicion)
+  }
+}
+
+function listSharedParts (parts: readonly PromptPart[]): string[] {
+  return [...new Set(parts.slice(0, -1).map(({ id }) => id))]
+}
+
+function isBlockable ({ crashes }: Suspicion): boolean {
+  return crashes >= BLOCKED_FROM_CRASHES
+}
+
+function computeBlockMs ({ crashes, wasAnswered }: Suspicion, isAmbiguous: boolean): number {
+  if (!isAmbiguous && crashes >= LONG_BLOCK_CRASHES) return Math.min(MAX_BLOCK_MS, LONG_BLOCK_MS * BLOCK_GROWTH ** (crashes - LONG_BLOCK_CRASHES))
+  return isAmbiguous && wasAnswered ? ANSWERED_BLOCK_MS : EARLY_BLOCK_MS
+}
+
+function formatKey (service: string, part: string): string {
+  return `${service} ${part}`
+}
