Refuse prompts with a part under which targets crashed

Callers saw one target after the other crash under requests with the same prompt part, because nothing remembered the part: each new call and each repeat was placed at the next target. The scheduler of the fleet and the local scheduler of each router now follow their calls with the crash detector, and refuse a prompt with a blocked part at once, also while it waits for a target. The refusal is the new error kind prompt-blocked: 503, not run unless an earlier attempt may have run, with the remaining block time as Retry-After.

--- a/src/contract/ErrorKind/index.ts
+++ b/src/contract/ErrorKind/index.ts
@@ -14,8 +14,8 @@
  */
 export const ErrorKind = z.enum([
   'bad-request', 'body-too-large', 'headers-too-large', 'unauthenticated', 'forbidden', 'not-found',
-  'unknown-service', 'queue-full', 'deadline-exceeded', 'no-target', 'target-failed', 'target-timeout',
-  'answer-truncated', 'outcome-unknown', 'key-conflict', 'key-in-progress', 'control-unavailable',
+  'unknown-service', 'queue-full', 'deadline-exceeded', 'no-target', 'prompt-blocked', 'target-failed',
+  'target-timeout', 'answer-truncated', 'outcome-unknown', 'key-conflict', 'key-in-progress', 'control-unavailable',
   'revision-conflict', 'invalid-settings', 'not-leader', 'log-corrupted', 'disk-failed', 'frame-invalid',
   'frame-too-large', 'version-mismatch', 'cluster-key-mismatch', 'shutting-down', 'caller-gone', 'internal'
 ])
--- a/src/contract/PlacementVerdict/index.ts
+++ b/src/contract/PlacementVerdict/index.ts
@@ -19,6 +19,11 @@
    * may have room after `retryAfterS` seconds.
    */
   z.object({ type: z.literal('refuse'), retryAfterS: z.number(), waitMs: z.number(), readMs: z.number() }),
+  /**
+   * Targets crash when they answer prompts with this part: `crashes` of them since its last answer. Prompts with the part
+   * are refused for `retryAfterS` seconds.
+   */
+  z.object({ type: z.literal('blocked'), part: z.string(), crashes: z.number(), retryAfterS: z.number() }),
   /** The scheduler knows no target that may run the request. */
   z.object({ type: z.literal('none') })
 ])
--- a/src/contract/errorTable/index.ts
+++ b/src/contract/errorTable/index.ts
@@ -32,6 +32,7 @@
   'queue-full': { status: 429, outcome: 'not-run', isRetryable: true, exitCode: 5 },
   'deadline-exceeded': { status: 504, outcome: 'not-run', isRetryable: true, exitCode: 5 },
   'no-target': { status: 503, outcome: 'not-run', isRetryable: true, exitCode: 5 },
+  'prompt-blocked': { status: 503, outcome: 'not-run', isRetryable: false, exitCode: 6 },
   'target-failed': { status: 502, outcome: 'unknown', isRetryable: false, exitCode: 6 },
   'target-timeout': { status: 504, outcome: 'unknown', isRetryable: false, exitCode: 6 },
   'answer-truncated': { status: 502, outcome: 'unknown', isRetryable: false, exitCode: 6 },
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -201,6 +201,7 @@
         return this.#record.close({ outcome: 'complete', status, reason: 'The target reported a failure.' })
       }
       case 'refuse':
+        if (conclusion.reason === 'blocked') throw new AppError('prompt-blocked', `The request has not run: targets crash when they answer requests with the prompt part ${conclusion.part}.`, { retryAfterS: conclusion.retryAfterS })
         throw new AppError('no-target', `The request has not run: ${conclusion.reason}.`, { retryAfterS: conclusion.retryAfterS ?? RETRY_AFTER_S })
       case 'fail':
         throw new AppError(conclusion.reason === 'expired' ? 'target-timeout' : 'target-failed', 'No valid and complete response was received from the target.')
--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -3,7 +3,9 @@
 import { PlacementVerdict } from '../../contract/PlacementVerdict'
 import type { TargetEntry } from '../../contract/TargetEntry'
 import type { Link } from '../../link/Link'
+import { CrashMonitor } from '../../routing/CrashMonitor'
 import { PlacementQueue } from '../../routing/PlacementQueue'
+import { PromptQuarantine } from '../../routing/PromptQuarantine'
 import { PromptScheduler } from '../../routing/PromptScheduler'
 import type { ComponentLogger } from '../../telemetry/ComponentLogger'
 
@@ -21,6 +23,8 @@
 const REPLY_TIMEOUT_MS = 320
 /** After a reply has timed out, the router places prompts itself for this time. */
 const FALLBACK_MS = 500
+/** Routers that place prompts themselves probe a blocked part this much later, because each of them would probe it. */
+const PROBE_DELAY_MS = 10_000
 
 /**
  * @name PlacementClient
@@ -36,6 +40,8 @@
  * placements.record(request.id, 'ended')
  */
 export class PlacementClient {
+  /** Prompt parts under which targets crashed, as far as this router knows. */
+  readonly quarantine = new PromptQuarantine({ probeDelayMs: PROBE_DELAY_MS })
   readonly #options: PlacementClientOptions
   readonly #localScheduler: PromptScheduler
   readonly #localQueue: PlacementQueue
@@ -47,8 +53,9 @@
 
   constructor (options: PlacementClientOptions) {
     this.#options = options
-    const { getMemoryTokens, countRouters } = options
-    this.#localScheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1 / countRouters(), random: Math.random, startedMs: performance.now() })
+    const { getMemoryTokens, countRouters, logger } = options
+    const crashMonitor = new CrashMonitor({ quarantine: this.quarantine, logger })
+    this.#localScheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1 / countRouters(), crashMonitor, random: Math.random, startedMs: performance.now() })
     this.#localQueue = new PlacementQueue(this.#localScheduler)
   }
 
--- a/src/gateway/placeCall/index.ts
+++ b/src/gateway/placeCall/index.ts
@@ -1,6 +1,7 @@
 import type { RequestMetadata } from '../../contract/RequestMetadata'
 import type { PlacementProgress } from '../../contract/PlacementProgress'
 import type { TargetEntry } from '../../contract/TargetEntry'
+import type { AttemptResult } from '../../routing/AttemptResult'
 import type { GatewayContext } from '../GatewayContext'
 
 interface PlaceCallOptions {
@@ -25,6 +26,7 @@
 type Placement =
   | { type: 'place', target: TargetEntry, estimate?: Estimate, record: (event: PlacementProgress[number][1]) => void }
   | { type: 'refused', retryAfterS: number, estimate: Estimate }
+  | Extract<AttemptResult, { type: 'blocked' }>
   | { type: 'no-target' }
 
 /** Typical share of the maximum output tokens that is generated; used for callers that give no estimate. */
@@ -58,6 +60,7 @@
   const id = String(nextId++)
   const { verdict, scheduler } = await placements.request({ id, callId: metadata.id, account, service, zone, parts, promptTokens, outputTokens: outputHint ?? outputTokens * TYPICAL_OUTPUT_SHARE, objectiveMs, excluded: [...excluded] })
   if (verdict.type === 'refuse') return { type: 'refused', retryAfterS: verdict.retryAfterS, estimate: createEstimate(verdict, scheduler) }
+  if (verdict.type === 'blocked') return verdict
   const target = verdict.type === 'place' ? findTarget(verdict.target) : undefined
   if (!target || verdict.type !== 'place') {
     placements.record(id, 'ended')
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -7,7 +7,9 @@
 import type { TargetEntry } from '../../../contract/TargetEntry'
 import type { Link } from '../../../link/Link'
 import type { MessageHandler } from '../../../link/MessageHandler'
+import { CrashMonitor } from '../../../routing/CrashMonitor'
 import { PlacementQueue } from '../../../routing/PlacementQueue'
+import { PromptQuarantine } from '../../../routing/PromptQuarantine'
 import { PromptScheduler } from '../../../routing/PromptScheduler'
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 
@@ -39,12 +41,14 @@
  * calls to a new leader, and the calls of a router are removed when its link closes.
  */
 export class PlacementService {
+  /** Prompt parts under which targets crashed. It is kept when another replica leads. */
+  readonly quarantine = new PromptQuarantine()
   readonly #options: PlacementServiceOptions
   readonly #routers = new Map<Link, RouterState>()
   readonly #timer: NodeJS.Timeout
   #scheduler!: PromptScheduler
   #queue!: PlacementQueue
-  readonly #verdicts = { place: 0, refuse: 0, none: 0 }
+  readonly #verdicts = { place: 0, refuse: 0, blocked: 0, none: 0 }
   #targets: readonly TargetEntry[] = []
   #nextRouterNumber = 1
 
@@ -82,8 +86,9 @@
   /** Discards the state of the scheduler, because another replica leads. */
   reset (): void {
     this.#queue?.close()
-    const { getMemoryTokens } = this.#options
-    this.#scheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1, random: Math.random, startedMs: performance.now() })
+    const { getMemoryTokens, logger } = this.#options
+    const crashMonitor = new CrashMonitor({ quarantine: this.quarantine, logger })
+    this.#scheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1, crashMonitor, random: Math.random, startedMs: performance.now() })
     this.#scheduler.setTargets(this.#targets)
     this.#queue = new PlacementQueue(this.#scheduler)
   }
@@ -137,5 +142,5 @@
 }
 
 function createVerdictFields (verdict: PlacementVerdict): object {
-  return verdict.type === 'none' ? verdict : { ...verdict, waitMs: Math.round(verdict.waitMs), readMs: Math.round(verdict.readMs) }
+  return 'waitMs' in verdict ? { ...verdict, waitMs: Math.round(verdict.waitMs), readMs: Math.round(verdict.readMs) } : verdict
 }
--- a/src/routing/AttemptResult/index.ts
+++ b/src/routing/AttemptResult/index.ts
@@ -15,6 +15,8 @@
   | { type: 'no-target' }
   /** No target has capacity in time. */
   | { type: 'refused', retryAfterS: number }
+  /** Requests with this part of the prompt are refused, because targets crash when they answer them. */
+  | { type: 'blocked', part: string, crashes: number, retryAfterS: number }
   /** No byte of the request reached the target. */
   | { type: 'unsent', target: string }
   /** The target reported that it did not run the request. */
--- a/src/routing/CrashDetector/index.ts
+++ b/src/routing/CrashDetector/index.ts
@@ -61,8 +61,9 @@
   /** Time of the last crash of each target that has not begun to answer since and may still be down. */
   readonly #crashedMs = new Map<string, number>()
 
-  start (id: string, { service, parts, target }: { service: string, parts: readonly PromptPart[], target: string }, nowMs: number): void {
-    this.#calls.set(id, { service, parts, target, startedMs: nowMs })
+  /** Adds a call; `isRead` if its answer began long before. */
+  start (id: string, { service, parts, target, isRead = false }: { service: string, parts: readonly PromptPart[], target: string, isRead?: boolean }, nowMs: number): void {
+    this.#calls.set(id, { service, parts, target, startedMs: nowMs, readMs: isRead ? -Infinity : undefined })
     const ids = this.#callsByTarget.get(target) ?? new Set()
     this.#callsByTarget.set(target, ids.add(id))
   }
@@ -73,7 +74,8 @@
     if (!call) return undefined
     this.#closeEpisode(call.target, nowMs)
     if (event === 'read') {
-      call.readMs ??= nowMs
+      if (call.readMs !== undefined) return undefined
+      call.readMs = nowMs
       this.#begun.add(call)
       this.#crashedMs.delete(call.target)
       return undefined
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -6,10 +6,13 @@
 import { CircuitBreaker } from '../../target/CircuitBreaker'
 import { AccountUsage } from '../AccountUsage'
 import { computeCallCost } from '../computeCallCost'
+import type { CrashMonitor } from '../CrashMonitor'
 import { EngineReservations } from '../EngineReservations'
 import { EngineState } from '../EngineState'
 import { RendezvousOrder } from '../RendezvousOrder'
 import { TargetSlowdowns } from '../TargetSlowdowns'
+import type { Candidate } from './_lib/Candidate'
+import { chooseBest } from './_lib/chooseBest'
 
 interface WaitingRequest {
   request: PlacementRequest
@@ -22,24 +25,13 @@
   estimatedMs: number
 }
 
-interface Candidate {
-  target: TargetEntry
-  engine: EngineState
-  /** Estimated prefill time of the prompt at an engine of nominal speed. */
-  nominalReadMs: number
-  /** Estimated prefill time of the prompt at this engine. */
-  readMs: number
-  /** Estimated time until the engine has prefilled the prompts that were placed there before. */
-  waitMs: number
-  /** Position among the eligible targets in the rendezvous order of the prompt's key, 0 for the first. */
-  rank: number
-}
-
 interface PromptSchedulerOptions {
   /** Memory of each engine of a service in tokens; undefined if the service has no engines. */
   getMemoryTokens: (service: string) => number | undefined
   /** Share of the engines' load that this scheduler places: 1 if it places all requests. */
   getLoadShare: () => number
+  /** Follows the calls, and refuses prompts under which targets crash. */
+  crashMonitor: CrashMonitor
   random: () => number
   /** Start time of the scheduler, in milliseconds of a monotonic clock. */
   startedMs: number
@@ -62,8 +54,6 @@
  * target that has cached the key part. All schedulers compute the same order.
  */
 const AFFINITY_TARGETS = 2
-/** Cost added per rank, so that of otherwise equal targets the first in the rendezvous order is chosen. */
-const RANK_PENALTY_MS = 4
 /**
  * A new scheduler does not know what engines have cached. For this time after its start it assumes that the first target
  * in the rendezvous order has cached the shared parts, because its predecessor placed them there.
@@ -91,10 +81,10 @@
  * capacity of an engine is reserved for them. Prompts are placed at engines that have cached their shared parts (cache
  * affinity). The class does no I/O and reads no clock; times are milliseconds of a monotonic clock.
  *
- * @param options - Memory of engines, share of the load, source of random numbers and start time.
+ * @param options - Memory of engines, share of the load, crash monitor, source of random numbers and start time.
  *
  * @example
- * const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getLoadShare: () => 1, random: Math.random, startedMs: performance.now() })
+ * const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getLoadShare: () => 1, crashMonitor, random: Math.random, startedMs: performance.now() })
  * scheduler.setTargets(entries)
  * scheduler.request(request, nowMs) // { type: 'place', target: 'i-1', waitMs: 0, readMs: 80 }, or undefined while it waits
  */
@@ -160,8 +150,8 @@
   /** Adds a running call that another scheduler placed. */
   accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number): void {
     if (this.#running.has(request.id)) return
-    this.#start(request, { target, readMs, estimatedMs: readMs }, nowMs)
-    if (isRead) this.record(request.id, 'read', nowMs)
+    this.#start(request, { target, readMs, estimatedMs: readMs, isRead }, nowMs)
+    if (isRead) this.#recordRead(this.#running.get(request.id)!, nowMs)
   }
 
   /** Records the progress of a call. A request that is still waiting is removed. */
@@ -170,6 +160,7 @@
     this.#largePrefills.delete(id)
     const call = this.#running.get(id)
     if (!call) return
+    this.#options.crashMonitor.record(id, event, nowMs)
     if (event === 'read') return this.#recordRead(call, nowMs)
     this.#running.delete(id)
     this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.readMs })
@@ -192,13 +183,15 @@
   }
 
   #chooseVerdict ({ request, sinceMs }: WaitingRequest, nowMs: number): PlacementVerdict | undefined {
+    const refusal = this.#options.crashMonitor.findRefusal(request, nowMs)
+    if (refusal) return refusal
     const candidates = this.#listCandidates(request, nowMs)
     if (candidates.length === 0) return { type: 'none' }
     const isLarge = Math.min(...candidates.map(({ nominalReadMs }) => nominalReadMs)) > LARGE_PROMPT_SHARE * request.objectiveMs
     const limits = { remainingMs: request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_OVERHEAD_MS, waitMs: isLarge && this.#isLargePromptAllowed() ? LARGE_PROMPT_MAX_WAIT_MS : 0 }
     const use = this.#usage.get(request.account, nowMs)
     const free = candidates.filter(({ target, engine }) => engine.running < target.slots * this.#options.getLoadShare() && this.#reservations.isAvailable(target.id, use))
-    const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)))
+    const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)), { maxRank: AFFINITY_TARGETS })
     if (best && isLarge) this.#largePrefills.add(request.id)
     if (best) return this.#place(request, best, nowMs)
     if (nowMs - sinceMs < MAX_WAIT_MS) {
@@ -216,11 +209,13 @@
 
   #place (request: PlacementRequest, { target, readMs, waitMs }: Candidate, nowMs: number): PlacementVerdict {
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
-    this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs }, nowMs)
+    this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs, isRead: false }, nowMs)
+    this.#options.crashMonitor.recordPlacement(request, target.id, nowMs)
     return { type: 'place', target: target.id, waitMs, readMs }
   }
 
-  #start (request: PlacementRequest, { target, readMs, estimatedMs }: { target: string, readMs: number, estimatedMs: number }, nowMs: number): void {
+  #start (request: PlacementRequest, { target, readMs, estimatedMs, isRead }: { target: string, readMs: number, estimatedMs: number, isRead: boolean }, nowMs: number): void {
+    this.#options.crashMonitor.start(request, { target, isRead }, nowMs)
     this.#running.set(request.id, { request, target, readMs, isRead: false, startedMs: nowMs, estimatedMs })
     this.#usage.charge(request.account, computeCallCost({ ...request, readMs }), nowMs)
     const entry = this.#targets.find(({ id }) => id === target)
@@ -277,23 +272,6 @@
   return candidates.reduce((least, next) => next.waitMs + next.readMs < least.waitMs + least.readMs ? next : least)
 }
 
-/**
- * The candidate with the least cost: the time until the end of its prefill, plus a penalty for its rank. Prefill time
- * beyond that of the fastest candidate counts twice, because it repeats work whose result another engine has cached.
- */
-function chooseBest (candidates: readonly Candidate[]): Candidate | undefined {
-  const leastReadMs = Math.min(...candidates.map(({ readMs }) => readMs))
-  let best: Candidate | undefined
-  let bestMs = Infinity
-  for (const candidate of candidates) {
-    const costMs = candidate.waitMs + candidate.readMs + (candidate.readMs - leastReadMs) + Math.min(candidate.rank, AFFINITY_TARGETS) * RANK_PENALTY_MS
-    if (costMs >= bestMs) continue
-    best = candidate
-    bestMs = costMs
-  }
-  return best
-}
-
 /** Circuits are kept per target and zone, because a target may be unreachable from one zone only. */
 function formatCircuit (target: string, zone: string): string {
   return `${target} ${zone}`
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -1,11 +1,18 @@
 import type { PlacementRequest } from '../../contract/PlacementRequest'
 import type { PlacementVerdict } from '../../contract/PlacementVerdict'
+import { CrashMonitor } from '../CrashMonitor'
+import { PromptQuarantine } from '../PromptQuarantine'
 import { PromptScheduler } from '.'
 
 const createTarget = (id: string, changes: object = {}) => ({ id, service: 's', host: '10.0.0.1', port: 1, zone: 'z', slots: 48, isDraining: false, warmupMs: 0, ...changes })
 
+const createCrashMonitor = () => {
+  const log = () => {}
+  return new CrashMonitor({ quarantine: new PromptQuarantine(), logger: { error: log, warn: log, info: log, debug: log } })
+}
+
 function createScheduler (targets = ['t1', 't2', 't3', 't4'].map(id => createTarget(id)), startedMs = -60_000) {
-  const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getLoadShare: () => 1, random: () => 0.5, startedMs })
+  const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getLoadShare: () => 1, crashMonitor: createCrashMonitor(), random: () => 0.5, startedMs })
   scheduler.setTargets(targets)
   return scheduler
 }
@@ -166,7 +173,7 @@
 
   it('uses only its share of the capacity of a target when it places a part of the load of the fleet', () => {
     const place = (share: number) => {
-      const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getLoadShare: () => share, random: () => 0, startedMs: -60_000 })
+      const scheduler = new PromptScheduler({ getMemoryTokens: () => 444_000, getLoadShare: () => share, crashMonitor: createCrashMonitor(), random: () => 0, startedMs: -60_000 })
       scheduler.setTargets([createTarget('t1')])
       return Array.from({ length: 40 }, (_, i) => scheduler.request(createRequest({ shared: `d${i}`, sharedTokens: 1_000, ownTokens: 1_000 }), 0)).filter(verdict => verdict?.type === 'place').length
     }
--- a/src/routing/planAttempts/index.ts
+++ b/src/routing/planAttempts/index.ts
@@ -23,6 +23,8 @@
   | { type: 'deliver' }
   /** The request has not run and will not run. */
   | { type: 'refuse', reason: 'no-target' | 'no-room' | 'not-run' | 'expired', retryAfterS?: number }
+  /** The request has not run, because targets crash when they answer requests with this part of its prompt. */
+  | { type: 'refuse', reason: 'blocked', part: string, retryAfterS: number }
   /** The request may have run, but its response is lost. */
   | { type: 'fail', reason: 'lost' | 'expired' }
   /** The caller has received the beginning of a response that can't be completed. */
@@ -65,6 +67,7 @@
       case 'left': return { type: 'done' }
       case 'no-target': return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-target' })
       case 'refused': return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-room', retryAfterS: result.retryAfterS })
+      case 'blocked': return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'blocked', part: result.part, retryAfterS: result.retryAfterS })
       case 'expired': return concludeExpired(result, mayHaveRun)
       case 'unsent':
         if (++unsentAttempts >= MAX_UNSENT_ATTEMPTS) return concludeUnserved({ mayHaveRun, lastEventId }, { type: 'refuse', reason: 'no-target' })
