Share the suspected prompt parts between the routers and a new leader

Only the leader of the registry knew under which parts engines crashed. When it was lost, or a router could not reach it, callers saw the same part crash engines again. The reply to each load report now carries the suspected parts (at most 64, none in the normal case) and the term of the leader. Each router keeps a copy, refuses blocked parts by itself, and answers the first summary of another leader or term with its copy (adoptSuspects), so that an empty memory replaces none. A router that decides by itself merges instead of replacing, so that what it saw alone is handed over too. The leader ignores copies of parts that were answered or released in the last 10 minutes.

New metrics: papayalead_scheduler_blocked_parts, _target_crashes_total, and papayalead_gateway_blocked_parts, _blocked_requests_total.

--- a/src/contract/LoadSummary/index.ts
+++ b/src/contract/LoadSummary/index.ts
@@ -1,11 +1,12 @@
 import { z } from 'zod'
 import { LoadReport } from '../LoadReport'
+import { SuspectPart } from '../SuspectPart'
 
 /**
  * @name LoadSummary
  * @category Contract
- * @summary Reply to `reportLoad`: sums of the load reports of all other routers, and whether the
- * receiver may leave the rotation.
+ * @summary Reply to `reportLoad`: sums of the load reports of all other routers, whether the receiver may leave the
+ * rotation, and the suspected prompt parts.
  *
  * @example
  * LoadSummary.parse({ routers: 9, targets: [] })
@@ -14,6 +15,10 @@
   /** Number of routers that reported recently, the receiver included. */
   routers: z.number().int().positive(),
   /** Whether the receiver may leave the rotation of the load balancer because it is overloaded. */
-  mayLeaveRotation: z.boolean().default(false)
+  mayLeaveRotation: z.boolean().default(false),
+  /** Prompt parts under which targets crashed, those with the most crashes if there are many. */
+  suspects: z.array(SuspectPart).default([]),
+  /** Term in which the sender leads the registry. The suspected parts of another term are another memory. */
+  term: z.number().int().nonnegative().default(0)
 })
 export type LoadSummary = z.infer<typeof LoadSummary>
--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -1,3 +1,4 @@
+import type { LoadSummary } from '../../contract/LoadSummary'
 import type { PlacementProgress } from '../../contract/PlacementProgress'
 import type { PlacementRequest } from '../../contract/PlacementRequest'
 import { PlacementVerdict } from '../../contract/PlacementVerdict'
@@ -8,6 +9,7 @@
 import { PromptQuarantine } from '../../routing/PromptQuarantine'
 import { PromptScheduler } from '../../routing/PromptScheduler'
 import type { ComponentLogger } from '../../telemetry/ComponentLogger'
+import { SuspectCopy } from '../SuspectCopy'
 
 type ProgressEvent = PlacementProgress[number][1]
 
@@ -33,7 +35,8 @@
  *
  * @description
  * The local scheduler tracks all calls of this router and can take over at any moment while the scheduler of the fleet
- * can't be reached. It assumes that this router has an equal share of the load of the fleet.
+ * can't be reached. It assumes that this router has an equal share of the load of the fleet. Prompts with a blocked part
+ * are refused without asking the scheduler.
  *
  * @example
  * const { verdict } = await placements.request(request)
@@ -43,6 +46,8 @@
   /** Prompt parts under which targets crashed, as far as this router knows. */
   readonly quarantine = new PromptQuarantine({ probeDelayMs: PROBE_DELAY_MS })
   readonly #options: PlacementClientOptions
+  readonly #crashMonitor: CrashMonitor
+  readonly #suspectCopy = new SuspectCopy(this.quarantine)
   readonly #localScheduler: PromptScheduler
   readonly #localQueue: PlacementQueue
   /** Calls that a scheduler of the fleet tracks, with the link to it. */
@@ -50,23 +55,48 @@
   #progress: PlacementProgress = []
   #registeredLink: Link | undefined
   #fallbackUntilMs = -Infinity
+  #blockedCalls = 0
 
   constructor (options: PlacementClientOptions) {
     this.#options = options
     const { getMemoryTokens, countRouters, logger } = options
     const crashMonitor = new CrashMonitor({ quarantine: this.quarantine, logger })
+    this.#crashMonitor = crashMonitor
     this.#localScheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1 / countRouters(), crashMonitor, random: Math.random, startedMs: performance.now() })
     this.#localQueue = new PlacementQueue(this.#localScheduler)
   }
 
+  /** Placements that were refused because of a blocked prompt part. */
+  get blockedCalls (): number {
+    return this.#blockedCalls
+  }
+
+  countBlockedParts (): number {
+    return this.quarantine.list(performance.now()).filter(({ blockedMs }) => blockedMs > 0).length
+  }
+
+  /** Takes over the suspected prompt parts from the scheduler's reply to a load report. */
+  applySummary (summary: Pick<LoadSummary, 'suspects' | 'term'>, link: Link): void {
+    this.#suspectCopy.apply(summary, { link, isDetached: this.#findLink() !== link }, performance.now())
+  }
+
   setTargets (entries: readonly TargetEntry[]): void {
     this.#localScheduler.setTargets(entries)
   }
 
   /** Returns the verdict and the instance that decided; `local` stands for this router. */
   async request (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
+    const decided = await this.#place(request)
+    if (decided.verdict.type === 'blocked') this.#blockedCalls++
+    return decided
+  }
+
+  async #place (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
     const link = this.#findLink()
     if (!link) return this.#requestLocally(request)
+    // After the end of a block the scheduler decides, because it lets one request of the whole fleet through as a probe.
+    const refusal = this.#findRefusal(request, performance.now())
+    if (refusal) return { verdict: refusal, scheduler: 'local' }
     try {
       const verdict = PlacementVerdict.parse(await link.request('requestPlacement', request, { timeoutMs: REPLY_TIMEOUT_MS }))
       const decided = { verdict, scheduler: link.peer.instance }
@@ -77,6 +107,7 @@
     } catch (error) {
       this.#options.logger.warn('The scheduler did not reply; this router decides by itself.', { scheduler: link.peer.instance, requestId: request.id, reason: String(error) })
       this.#fallbackUntilMs = performance.now() + FALLBACK_MS
+      this.#suspectCopy.detach()
       this.#registeredLink = undefined
       // If the scheduler has placed the call although no valid reply arrived, this report ends the call there.
       link.send('reportProgress', [[request.id, 'ended']] satisfies PlacementProgress)
@@ -98,6 +129,11 @@
     this.#localQueue.close()
   }
 
+  #findRefusal (request: PlacementRequest, nowMs: number): PlacementVerdict | undefined {
+    const blocked = this.quarantine.findBlocked(request, nowMs)
+    return blocked && blocked.blockedMs > 0 ? this.#crashMonitor.findRefusal(request, nowMs) : undefined
+  }
+
   async #requestLocally (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
     return { verdict: await this.#localQueue.request(request), scheduler: 'local' }
   }
--- a/src/gateway/PlacementClient/test.ts
+++ b/src/gateway/PlacementClient/test.ts
@@ -74,4 +74,22 @@
     const [, second] = sent.filter(([type]) => type === 'adoptPlacements').map(([, body]) => (body as Array<{ request: { id: string } }>).map(({ request }) => request.id))
     expect(second).toEqual(['2'])
   })
+
+  // Guards against a part that crashes further targets while a router waits for the verdict of a scheduler that was lost,
+  // and against blocks that never end because no router asks the scheduler for a probe.
+  it('refuses prompts with a blocked part without asking the scheduler, and asks it again after the end of the block', async () => {
+    const { link, requests } = createLink(async () => ({ type: 'blocked', part: 'bad', crashes: 3, retryAfterS: 1 }))
+    const client = createClient(() => link)
+    const request = { ...createRequest('1'), callId: 'c', parts: [{ id: 'bad', tokens: 100 }, { id: 'last', tokens: 1 }] }
+    const suspect = { service: 's', part: 'bad', crashes: 3, blockedMs: 20_000, targets: ['t0'] }
+    client.applySummary({ suspects: [], term: 1 }, link)
+    client.applySummary({ suspects: [suspect], term: 1 }, link)
+    expect(await client.request(request)).toMatchObject({ scheduler: 'local', verdict: { type: 'blocked', part: 'bad', crashes: 3 } })
+    expect(requests).toEqual([])
+    expect(client.countBlockedParts()).toBe(1)
+    client.applySummary({ suspects: [{ ...suspect, blockedMs: 0 }], term: 1 }, link)
+    expect(await client.request(request)).toMatchObject({ scheduler: 'c1', verdict: { type: 'blocked' } })
+    expect(requests).toEqual(['1'])
+    expect(client.blockedCalls).toBe(2)
+  })
 })
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -4,6 +4,7 @@
 import type { PlacementVerdict } from '../../../contract/PlacementVerdict'
 import { PlacementRequest } from '../../../contract/PlacementRequest'
 import { RunningPlacement } from '../../../contract/RunningPlacement'
+import { SuspectPart } from '../../../contract/SuspectPart'
 import type { TargetEntry } from '../../../contract/TargetEntry'
 import type { Link } from '../../../link/Link'
 import type { MessageHandler } from '../../../link/MessageHandler'
@@ -11,6 +12,7 @@
 import { PlacementQueue } from '../../../routing/PlacementQueue'
 import { PromptQuarantine } from '../../../routing/PromptQuarantine'
 import { PromptScheduler } from '../../../routing/PromptScheduler'
+import { selectSuspects } from '../../../routing/selectSuspects'
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 
 interface PlacementServiceOptions {
@@ -29,19 +31,24 @@
 }
 
 const AdoptedPlacements = z.array(RunningPlacement)
+const AdoptedSuspects = z.array(SuspectPart)
 const CHECK_INTERVAL_MS = 250
 /**
  * Routers report their load four times as often. The calls of a router that has sent no report for this time are removed,
  * because they can't be tracked.
  */
 const ROUTER_TIMEOUT_MS = 1_000
+/** Bounds the reply to each load report. */
+const MAX_SUSPECTS = 64
+/** The list of suspects is computed at most this often, because each load report of each router is answered with it. */
+const SUSPECTS_INTERVAL_MS = 50
 
 /**
  * Runs the prompt scheduler of the fleet at the leader of the registry. Its state is soft: routers report their running
- * calls to a new leader, and the calls of a router are removed when its link closes.
+ * calls and the suspected prompt parts to a new leader, and the calls of a router are removed when its link closes.
  */
 export class PlacementService {
-  /** Prompt parts under which targets crashed. It is kept when another replica leads. */
+  /** Prompt parts under which targets crashed. */
   readonly quarantine = new PromptQuarantine()
   readonly #options: PlacementServiceOptions
   readonly #routers = new Map<Link, RouterState>()
@@ -51,6 +58,7 @@
   readonly #verdicts = { place: 0, refuse: 0, blocked: 0, none: 0 }
   #targets: readonly TargetEntry[] = []
   #nextRouterNumber = 1
+  #suspects: { list: SuspectPart[], atMs: number } = { list: [], atMs: -Infinity }
 
   constructor (options: PlacementServiceOptions) {
     this.#options = options
@@ -69,10 +77,35 @@
         for (const placement of AdoptedPlacements.parse(body)) {
           this.#scheduler.accept({ ...placement, request: this.#createGlobalRequest(placement.request, link) }, performance.now())
         }
-      }]
+      }],
+      ['adoptSuspects', (body, link) => this.#acceptSuspects(AdoptedSuspects.parse(body), link)]
     ])
   }
 
+  /** Suspected prompt parts for the routers. Their block times are up to 50 ms old. */
+  getSuspects (): readonly SuspectPart[] {
+    const nowMs = performance.now()
+    if (nowMs - this.#suspects.atMs > SUSPECTS_INTERVAL_MS) this.#suspects = { list: selectSuspects(this.quarantine.list(nowMs), { max: MAX_SUSPECTS }), atMs: nowMs }
+    return this.#suspects.list
+  }
+
+  /** All suspected prompt parts. Throws `not-leader` if this replica does not lead. */
+  listSuspects (): SuspectPart[] {
+    this.#checkLeader('decide on prompt parts')
+    return this.quarantine.list(performance.now())
+  }
+
+  /** Releases a prompt part at the request of an operator. Throws `not-leader` if this replica does not lead. */
+  releasePart (part: { service: string, part: string }): boolean {
+    this.#checkLeader('decide on prompt parts')
+    this.#suspects.atMs = -Infinity
+    return this.quarantine.release(part, performance.now())
+  }
+
+  getQuarantineCounts (): { blockedParts: number, crashes: number } {
+    return { blockedParts: this.quarantine.list(performance.now()).filter(({ blockedMs }) => blockedMs > 0).length, crashes: this.quarantine.crashes }
+  }
+
   getCounts (): { waiting: number, running: number, verdicts: Readonly<Record<PlacementVerdict['type'], number>> } {
     const { waitingCount, runningCount } = this.#scheduler
     return { waiting: waitingCount, running: runningCount, verdicts: this.#verdicts }
@@ -86,6 +119,8 @@
   /** Discards the state of the scheduler, because another replica leads. */
   reset (): void {
     this.#queue?.close()
+    this.quarantine.replace([], performance.now())
+    this.#suspects = { list: [], atMs: -Infinity }
     const { getMemoryTokens, logger } = this.#options
     const crashMonitor = new CrashMonitor({ quarantine: this.quarantine, logger })
     this.#scheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1, crashMonitor, random: Math.random, startedMs: performance.now() })
@@ -115,10 +150,21 @@
 
   /** Gives the request an id that is unique among all routers. Throws `not-leader` if this replica does not lead. */
   #createGlobalRequest (request: PlacementRequest, link: Link): PlacementRequest {
-    if (!this.#options.isLeader()) throw new AppError('not-leader', 'This replica is not the leader, so it does not place calls.')
+    this.#checkLeader('place calls')
     return { ...request, id: this.#getRouter(link).idPrefix + request.id }
   }
 
+  #acceptSuspects (suspects: readonly SuspectPart[], link: Link): void {
+    this.#checkLeader('decide on prompt parts')
+    this.quarantine.merge(suspects.slice(0, MAX_SUSPECTS), performance.now())
+    this.#suspects.atMs = -Infinity
+    this.#options.logger.info('A router handed over its suspected prompt parts.', { router: link.peer.instance, suspects: suspects.length, blocked: suspects.filter(({ blockedMs }) => blockedMs > 0).length })
+  }
+
+  #checkLeader (purpose: string): void {
+    if (!this.#options.isLeader()) throw new AppError('not-leader', `This replica is not the leader, so it does not ${purpose}.`)
+  }
+
   #getRouter (link: Link): RouterState {
     const known = this.#routers.get(link)
     if (known) return known
--- a/src/instance/_lib/PlacementService/test.ts
+++ b/src/instance/_lib/PlacementService/test.ts
@@ -14,10 +14,11 @@
   const lines: Array<Record<string, unknown> | undefined> = []
   const log = (_message: string, fields?: Record<string, unknown>) => { lines.push(fields) }
   const logger = { error: log, warn: log, info: log, debug: log }
-  const service = new PlacementService({ isLeader: () => isLeader, getMemoryTokens: () => 1_000, getListAgeMs: () => 40, logger })
+  const role = { isLeader }
+  const service = new PlacementService({ isLeader: () => role.isLeader, getMemoryTokens: () => 1_000, getListAgeMs: () => 40, logger })
   service.setTargets([target])
   const request = (link: Link, id: string) => service.handlers.get('requestPlacement')!(createRequest(id), link) as Promise<{ type: string }>
-  return { service, request, lines }
+  return { service, request, lines, role }
 }
 
 describe('PlacementService', () => {
@@ -83,4 +84,56 @@
     expect(await waiting).toMatchObject({ type: 'place' })
     service.close()
   })
+
+  const suspect = { service: 's', part: 'p1', crashes: 3, blockedMs: 20_000, targets: ['t0'] }
+  const adopt = (service: PlacementService, suspects: object[]) => service.handlers.get('adoptSuspects')!(suspects, createLink().link)
+  const listParts = (service: PlacementService) => service.getSuspects().map(({ part }) => part)
+
+  // Guards against a memory of suspected parts that is lost with the leader.
+  it('adopts the suspected parts of the routers, and refuses prompts with them', async () => {
+    const { service } = createService()
+    adopt(service, [suspect])
+    expect(service.listSuspects()).toMatchObject([suspect])
+    const request = { ...createRequest('1'), parts: [{ id: 'p1', tokens: 100 }, { id: 'last', tokens: 1 }] }
+    expect(await service.handlers.get('requestPlacement')!(request, createLink().link)).toMatchObject({ type: 'blocked', part: 'p1', crashes: 3 })
+    expect(service.getQuarantineCounts()).toMatchObject({ blockedParts: 1 })
+    service.close()
+  })
+
+  // Guards against a release by hand that is undone by the copy of a router which was out of touch.
+  it('does not adopt a part again that was released by hand', () => {
+    const { service } = createService()
+    adopt(service, [suspect])
+    expect(listParts(service)).toEqual(['p1'])
+    expect(service.releasePart(suspect)).toBe(true)
+    expect(service.releasePart(suspect)).toBe(false)
+    expect(listParts(service)).toEqual([])
+    adopt(service, [suspect])
+    expect(listParts(service)).toEqual([])
+    service.close()
+  })
+
+  // Guards against old entries that a replica keeps while others lead, for example of parts that were released meanwhile.
+  it('forgets the suspected parts when another replica leads, and neither lists nor adopts any', () => {
+    const { service, role } = createService()
+    adopt(service, [suspect])
+    role.isLeader = false
+    service.reset()
+    expect(() => service.listSuspects()).toThrow(expect.objectContaining({ kind: 'not-leader' }))
+    expect(() => service.releasePart(suspect)).toThrow(expect.objectContaining({ kind: 'not-leader' }))
+    expect(() => adopt(service, [suspect])).toThrow(expect.objectContaining({ kind: 'not-leader' }))
+    role.isLeader = true
+    expect(service.listSuspects()).toEqual([])
+    service.close()
+  })
+
+  // Guards against load reports whose replies grow with the number of suspected parts.
+  it('tells the routers a bounded number of suspected parts, those with the most crashes', () => {
+    const { service } = createService()
+    for (let first = 0; first < 200; first += 50) adopt(service, Array.from({ length: 50 }, (_, i) => ({ ...suspect, part: `p${first + i}`, crashes: first + i })))
+    expect(service.listSuspects()).toHaveLength(200)
+    expect(service.getSuspects()).toHaveLength(64)
+    expect(Math.min(...service.getSuspects().map(({ crashes }) => crashes))).toBe(136)
+    service.close()
+  })
 })
--- a/src/instance/_lib/RegistryClient/index.ts
+++ b/src/instance/_lib/RegistryClient/index.ts
@@ -19,7 +19,8 @@
   /** Called with each list of targets that the leader sends. */
   onTargets: (entries: readonly TargetEntry[]) => void
   createReport: () => LoadReport
-  onSummary: (summary: LoadSummary) => void
+  /** Called with each reply to a load report and the link to the leader that sent it. */
+  onSummary: (summary: LoadSummary, link: Link) => void
 }
 
 const WATCH_WAIT_MS = 1_000
@@ -148,7 +149,7 @@
     try {
       const summary = LoadSummary.parse(await client.request('reportLoad', this.#options.createReport(), { timeoutMs: REPORT_TIMEOUT_MS }))
       if (this.#leader === leader) this.#leaderRepliedAtMs = performance.now()
-      this.#options.onSummary(summary)
+      if (client.link) this.#options.onSummary(summary, client.link)
     } catch (error) {
       this.#options.logger.debug('A load report failed.', { leader, reason: String(error) })
       if (this.#leader === leader) this.#leader = undefined
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -121,7 +121,7 @@
     placements.setTargets(entries)
     logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
   }
-  const registry = createRegistryClient(settings, { logger, loads, monitor, onDocument: handleDocument, onTargets: handleTargets })
+  const registry = createRegistryClient(settings, { logger, loads, monitor, placements, onDocument: handleDocument, onTargets: handleTargets })
   registry.start()
   lifecycle.register('registry', () => registry.close())
   const reader = createFallbackReader(registry, { source: options.source, onRead: handleTargets, logger })
@@ -143,7 +143,9 @@
     getVersion: () => registry.version,
     getDecodeMs: () => decodeMs,
     countOverloads: () => monitor.overloads,
-    getLongestIterationMs: () => monitor.longestIterationMs
+    getLongestIterationMs: () => monitor.longestIterationMs,
+    countBlockedParts: () => placements.countBlockedParts(),
+    countBlockedCalls: () => placements.blockedCalls
   })
   await startReadinessServer(settings.ready, { isReady: () => readiness.isReady(), metrics, lifecycle })
   shutdown.watch(front.server)
@@ -156,9 +158,10 @@
   logger: ComponentLogger
   loads: TargetLoads
   monitor: EventLoopMonitor
+  placements: PlacementClient
 }
 
-function createRegistryClient (settings: GatewaySettings, { logger, loads, monitor, onDocument, onTargets }: CreateRegistryClientOptions): RegistryClient {
+function createRegistryClient (settings: GatewaySettings, { logger, loads, monitor, placements, onDocument, onTargets }: CreateRegistryClientOptions): RegistryClient {
   const identity: LinkIdentity = { instance: settings.instance.toLowerCase(), incarnation: randomUUID(), zone: settings.zone, role: 'router' }
   return new RegistryClient({
     seeds: settings.seeds.map(({ host }) => host),
@@ -168,7 +171,8 @@
     onDocument,
     onTargets,
     createReport: () => ({ targets: loads.createReport(), isOverloaded: monitor.isOverloaded }),
-    onSummary: summary => {
+    onSummary: (summary, link) => {
+      placements.applySummary(summary, link)
       loads.setPeerLoads(summary, performance.now())
       monitor.setPermit(summary.mayLeaveRotation)
     }
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -7,6 +7,7 @@
 import { LoadReport } from '../../contract/LoadReport'
 import type { LoadSummary } from '../../contract/LoadSummary'
 import type { RouteDocument } from '../../contract/RouteDocument'
+import type { SuspectPart } from '../../contract/SuspectPart'
 import type { RegistrySettings } from '../../contract/RegistrySettings'
 import { WatchFleetRequest } from '../../contract/WatchFleetRequest'
 import type { LifecycleManager } from '../../lifecycle/LifecycleManager'
@@ -45,6 +46,10 @@
   readDocument: () => Promise<Uint8Array | undefined>
   isLeader: () => boolean
   getStatus: () => LogStatus
+  /** Lists the suspected prompt parts. Throws `not-leader` at a replica that does not lead. */
+  listSuspects: () => SuspectPart[]
+  /** Releases a prompt part by hand; returns whether it was suspected. Throws `not-leader` at a replica that does not lead. */
+  releasePart: (part: { service: string, part: string }) => boolean
   /** Adds replicas that may know the leader, after the settings changed. */
   addSeeds: (hosts: readonly string[]) => void
 }
@@ -99,7 +104,7 @@
     onError: error => logger.warn('The list of targets can not be read.', { reason: String(error) })
   })
   const getListAgeMs = (): number => performance.now() - reader.readAtMs
-  registerRegistryMetrics(metrics, { getStatus: () => getStatus(logs), getStatistics: () => logs.getLog('documents').statistics, countDecodedDocuments: () => decodedDocuments, getVersion: () => documents.version, getListAgeMs, getPlacements: () => placement.getCounts() })
+  registerRegistryMetrics(metrics, { getStatus: () => getStatus(logs), getStatistics: () => logs.getLog('documents').statistics, countDecodedDocuments: () => decodedDocuments, getVersion: () => documents.version, getListAgeMs, getPlacements: () => placement.getCounts(), getQuarantine: () => placement.getQuarantineCounts() })
   const watchers = new FleetWatchers({ getView: request => createFleetView(request, { logs, documents, reader }) })
   const loads = new LoadTable()
   const permits = new RotationPermits()
@@ -115,7 +120,7 @@
       const report = LoadReport.parse(body)
       loads.record(instance, report, performance.now())
       const mayLeaveRotation = permits.observe({ router: instance, zone, isOverloaded: report.isOverloaded }, performance.now())
-      return { ...loads.computeSummary(instance, performance.now()), mayLeaveRotation } satisfies LoadSummary
+      return { ...loads.computeSummary(instance, performance.now()), mayLeaveRotation, suspects: [...placement.getSuspects()], term: getStatus(logs).term } satisfies LoadSummary
     }]
   ])
   // This incarnation identifies the process; the incarnation of its disk is part of the replica id.
@@ -130,6 +135,8 @@
   return {
     isLeader,
     getStatus: () => getStatus(logs),
+    listSuspects: () => placement.listSuspects(),
+    releasePart: part => placement.releasePart(part),
     addSeeds: hosts => logs.getLog('documents').addPeers(hosts),
     replaceDocument: async content => {
       const { version } = codec.decode(content)
--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -40,6 +40,8 @@
 const MAX_SUSPICIONS = 1_000
 const MAX_ANSWERED_PARTS = 4_096
 const MAX_TARGETS = 8
+/** For this time after a part was answered or released, copies of other instances that still contain it are ignored. */
+const CLEARED_TTL_MS = 600_000
 
 /**
  * @name PromptQuarantine
@@ -66,18 +68,27 @@
   /** Probe in flight of each service. */
   readonly #probes = new Map<string, { part: string, untilMs: number }>()
   readonly #events = new Map<string, CrashEvent>()
+  /** Times at which parts were answered or released, the oldest first. */
+  readonly #clearedMs = new Map<string, number>()
   #nextEvent = 1
+  #crashes = 0
 
   constructor ({ probeDelayMs = 0 }: PromptQuarantineOptions = {}) {
     this.#probeDelayMs = probeDelayMs
   }
 
+  /** Number of crashes of targets that were recorded here. */
+  get crashes (): number {
+    return this.#crashes
+  }
+
   /**
    * Records that a target crashed while requests with these prompts were about to be answered. `startedMs` has the time
    * of placement of each request. Returns the parts that are blocked from now on and were not before.
    */
   recordCrash ({ service, target, prompts, startedMs }: { service: string, target: string, prompts: readonly (readonly PromptPart[])[], startedMs?: readonly number[] }, nowMs: number): SuspectPart[] {
     this.#expire(nowMs)
+    this.#crashes++
     const event = this.#findEvent(service, target, nowMs)
     const startedByPart = new Map<string, number>()
     for (const [index, parts] of prompts.entries()) {
@@ -87,6 +98,7 @@
     const counted: Suspicion[] = []
     for (const [part, latestStartMs] of startedByPart) {
       const suspicion = this.#getSuspicion({ service, part })
+      this.#clearedMs.delete(formatKey(service, part))
       // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
       const isRepeated = suspicion.events.includes(event.id)
       const isEvidence = !isRepeated || (latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS)
@@ -113,6 +125,7 @@
       const suspicion = this.#suspicions.get(key)
       if (!suspicion || nowMs <= suspicion.lastCrashMs) continue
       if (isBlockable(suspicion)) cleared.push(this.#convert(suspicion, nowMs))
+      this.#recordCleared(key, nowMs)
       this.#remove(suspicion)
     }
     if (this.#answered.size > MAX_ANSWERED_PARTS) for (const key of this.#answered) if (this.#answered.delete(key) && this.#answered.size <= MAX_ANSWERED_PARTS) break
@@ -143,9 +156,13 @@
     return [...this.#suspicions.values()].map(suspicion => this.#convert(suspicion, nowMs))
   }
 
-  /** Adopts what another instance knows: of each part the higher count and the later end of the block. */
+  /**
+   * Adopts what another instance knows: of each part the higher count and the later end of the block. Parts that were
+   * answered or released here are not adopted for some minutes, because the copy may be older.
+   */
   merge (entries: readonly SuspectPart[], nowMs: number): void {
     for (const { service, part, crashes, blockedMs, targets } of entries) {
+      if (nowMs - (this.#clearedMs.get(formatKey(service, part)) ?? -Infinity) < CLEARED_TTL_MS) continue
       const suspicion = this.#getSuspicion({ service, part })
       suspicion.crashes = Math.max(suspicion.crashes, crashes)
       suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, nowMs)
@@ -159,16 +176,25 @@
   replace (entries: readonly SuspectPart[], nowMs: number): void {
     this.#suspicions.clear()
     this.#probes.clear()
+    this.#clearedMs.clear()
     this.merge(entries, nowMs)
   }
 
   /** Removes a part at the request of an operator. Returns whether it was suspected. */
-  release ({ service, part }: { service: string, part: string }): boolean {
-    const suspicion = this.#suspicions.get(formatKey(service, part))
+  release ({ service, part }: { service: string, part: string }, nowMs: number): boolean {
+    const key = formatKey(service, part)
+    const suspicion = this.#suspicions.get(key)
     if (suspicion) this.#remove(suspicion)
+    this.#recordCleared(key, nowMs)
     return suspicion !== undefined
   }
 
+  #recordCleared (key: string, nowMs: number): void {
+    this.#clearedMs.delete(key)
+    this.#clearedMs.set(key, nowMs)
+    if (this.#clearedMs.size > MAX_SUSPICIONS) for (const oldest of this.#clearedMs.keys()) if (this.#clearedMs.delete(oldest)) break
+  }
+
   #findBlockable ({ service, parts }: Prompt): Suspicion[] {
     if (this.#suspicions.size === 0) return []
     return listSharedParts(parts).flatMap(part => this.#suspicions.get(formatKey(service, part)) ?? []).filter(isBlockable)
--- a/test/promptQuarantine.test.ts
+++ b/test/promptQuarantine.test.ts
@@ -2,6 +2,7 @@
 import { CrashableEngine } from './_lib/CrashableEngine'
 import { CrashTraffic } from './_lib/CrashTraffic'
 import { GatewayFleet } from './_lib/GatewayFleet'
+import { waitFor } from './_lib/waitFor'
 
 const CRASH_PART = 'part-of-death'
 const ENGINES = 6
@@ -16,6 +17,13 @@
 /** Longer than an undisturbed stream. */
 const STREAM_MS = 500
 const CRASHING_MS = 14_000
+/** A block that outlasts the rest of a test. */
+const LONG_BLOCK_MS = 20_000
+/** Longer than the interval at which routers receive the suspected parts. */
+const SUMMARY_MS = 600
+/** Longer than an election. */
+const RECOVERY_MS = 3_000
+const CALL_INTERVAL_MS = 50
 
 interface CrashTest {
   fleet: GatewayFleet
@@ -41,6 +49,27 @@
   }
 }
 
+/** Sends calls with the part until it is blocked for longer than a test takes. Returns the leader that blocked it. */
+async function crashUntilBlocked (fleet: GatewayFleet, traffic: CrashTraffic): Promise<GatewayFleet['registries'][number]> {
+  const leader = await waitFor('a leader', () => fleet.registries.find(registry => registry.isLeader()))
+  await waitFor('the part to be blocked', async () => {
+    await traffic.sendCrashing()
+    return leader.listSuspects().some(({ part, blockedMs }) => part === CRASH_PART && blockedMs > LONG_BLOCK_MS)
+  })
+  await wait(SUMMARY_MS)
+  return leader
+}
+
+/** Sends calls with the part at all routers for a while, and returns their results. */
+async function sendCrashing (traffic: CrashTraffic, durationMs: number): Promise<string[]> {
+  const results: string[] = []
+  for (const endMs = performance.now() + durationMs; performance.now() < endMs;) {
+    results.push(await traffic.sendCrashing())
+    await wait(CALL_INTERVAL_MS)
+  }
+  return results
+}
+
 const listCrashes = (engines: CrashableEngine[]): number[] => engines.flatMap(({ crashedAtMs }) => crashedAtMs).sort((a, b) => a - b)
 
 describe('a prompt part that crashes every engine which begins to answer it', () => {
@@ -74,4 +103,41 @@
       expect({ failures, ...measured }).toEqual({ failures: [], ...measured })
     })
   })
+
+  // Guards against a memory that is lost with the leader of the registry: the new leader would let the part crash engines
+  // again until it has seen enough of it.
+  it('stays blocked when the leader of the registry is lost', async () => {
+    await runFleet({ registries: 3, routers: 3 }, async ({ fleet, engines, traffic }) => {
+      traffic.startSound()
+      const leader = await crashUntilBlocked(fleet, traffic)
+      const crashes = listCrashes(engines).length
+      await leader.stop()
+      fleet.registries.splice(fleet.registries.indexOf(leader), 1)
+      const refusals = await sendCrashing(traffic, RECOVERY_MS)
+      const next = await waitFor('a new leader', () => fleet.registries.find(registry => registry.isLeader()))
+      refusals.push(...await sendCrashing(traffic, CONTACT_MS))
+      expect(next.listSuspects()).toContainEqual(expect.objectContaining({ service: 's', part: CRASH_PART }))
+      expect(listCrashes(engines)).toHaveLength(crashes)
+      expect(refusals.filter(result => !result.includes('prompt-blocked'))).toEqual([])
+    })
+  })
+
+  // Guards against routers that forget the part as soon as they can't reach the leader and decide by themselves.
+  it('stays blocked at routers that can not reach the registry, and sound calls go on', async () => {
+    await runFleet({ registries: 1, routers: 3 }, async ({ fleet, engines, traffic }) => {
+      traffic.startSound()
+      const leader = await crashUntilBlocked(fleet, traffic)
+      // The engines that crashed are listed again.
+      await wait(CONTACT_MS)
+      const crashes = listCrashes(engines).length
+      await leader.stop()
+      fleet.registries.splice(0)
+      const refusals = await sendCrashing(traffic, CONTACT_MS)
+      const endMs = performance.now()
+      await wait(STREAM_MS)
+      expect(listCrashes(engines)).toHaveLength(crashes)
+      expect(refusals.filter(result => !result.includes('prompt-blocked'))).toEqual([])
+      expect(traffic.computeServedShare(endMs - 1_000, endMs)).toBeGreaterThan(0.5)
+    })
+  })
 })
