Probe blocked parts early, and block them for long only after a probe's crash

The count alone can't tell them from the part at fault. A part is now probed after 0.3 s (2 s if it was never answered), one at a time, and only the crash of such a probe blocks it for 60 s, a further one for four times as long.

--- a/src/routing/CrashDetector/index.ts
+++ b/src/routing/CrashDetector/index.ts
@@ -23,7 +23,10 @@
   service: string
   target: string
   prompts: (readonly PromptPart[])[]
+  /** Time of placement of each of these calls. */
   startedMs: number[]
+  /** Time at which the first call was reported lost. */
+  crashedMs: number
 }
 
 type CallEvent = 'read' | 'ended' | 'unreachable' | 'lost' | 'withdrawn'
@@ -50,7 +53,7 @@
  *
  * @example
  * detector.start('7', { service: 's', parts, target: 'i-1' }, 0)
- * detector.record('7', 'lost', 100) // { service: 's', target: 'i-1', prompts: [parts], startedMs: [0] }
+ * detector.record('7', 'lost', 100) // { service: 's', target: 'i-1', prompts: [parts], startedMs: [0], crashedMs: 100 }
  */
 export class CrashDetector {
   readonly #calls = new Map<string, Call>()
@@ -126,7 +129,7 @@
     this.#crashedMs.set(target, nowMs)
     // What the target had just begun and ended well is neither suspected nor cleared.
     for (const call of this.#begun) if (call.target === target && call.readMs! > episode.firstMs - SURVIVAL_MS) this.#begun.delete(call)
-    return { service, target, prompts: episode.suspects.map(({ parts }) => parts), startedMs: episode.suspects.map(({ startedMs }) => startedMs) }
+    return { service, target, prompts: episode.suspects.map(({ parts }) => parts), startedMs: episode.suspects.map(({ startedMs }) => startedMs), crashedMs: episode.firstMs }
   }
 
   #isDown (target: string, nowMs: number): boolean {
--- a/src/routing/PromptQuarantine/_lib/Suspicion/index.ts
+++ b/src/routing/PromptQuarantine/_lib/Suspicion/index.ts
@@ -3,14 +3,14 @@
   service: string
   part: string
   crashes: number
-  /** Ids of the crash events that were counted here; without those that another instance counted. */
-  events: number[]
+  /** Number of those crashes that a probe caused. */
+  probeCrashes: number
+  /** Id of the last crash event that was counted here. */
+  lastEvent: number
   targets: string[]
   lastCrashMs: number
-  /** End of the block that the crashes cause. */
+  /** End of the time for which every request with the part is refused. */
   blockedUntilMs: number
-  /** End of the block that another instance reported. */
-  mergedUntilMs: number
   /** Whether the part was answered at some time before the first crash. */
   wasAnswered: boolean
 }
--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -10,9 +10,20 @@
   probeDelayMs?: number
 }
 
+interface Crash {
+  service: string
+  target: string
+  /** Prompts of the requests that were about to be answered. */
+  prompts: readonly (readonly PromptPart[])[]
+  /** Time of placement of each of these requests. */
+  startedMs?: readonly number[]
+  /** Time at which the target crashed; that of the report by default. */
+  crashedMs?: number
+}
+
 interface CrashEvent {
   id: number
-  lastMs: number
+  startedMs: number
   targets: Set<string>
 }
 
@@ -24,13 +35,14 @@
 const EVENT_WINDOW_MS = 300
 /** From this number of targets on, the crashes of an event are not caused by a request and its retry. */
 const MASS_EVENT_TARGETS = 3
-/** Block time while other parts explain the same crashes. Parts that were answered before are probed first. */
+/**
+ * Block time before the first probe. Several innocent parts may share the crashes of the one at fault; those that were
+ * answered before are less likely to be at fault, so they are probed first.
+ */
 const ANSWERED_BLOCK_MS = 300
-const EARLY_BLOCK_MS = 2_000
-/** From this number of crashes on, a part that alone explains its crashes is blocked for the long time. */
-const LONG_BLOCK_CRASHES = 3
-const LONG_BLOCK_MS = 30_000
-/** Each further crash is caused by a probe, so it makes the block this many times as long. */
+const UNKNOWN_BLOCK_MS = 2_000
+/** A crash by a probe shows that the part is at fault. Each further one makes the block several times as long. */
+const PROBED_BLOCK_MS = 60_000
 const BLOCK_GROWTH = 4
 const MAX_BLOCK_MS = 24 * 3_600_000
 /** A probe that has neither been answered nor crashed its target after this time has had no result. */
@@ -49,9 +61,10 @@
  * @description
  * Every part except the last of a request that was about to be answered when its target crashed is suspected. A later
  * answer to a request with the part clears it. From the second crash on without an answer in between, requests with the
- * part are refused. After the block time one request is let through as a probe: an answer clears the part, a crash
- * blocks it for several times as long. While several parts explain the same crashes, they are probed early and one at a
- * time. Entries expire, and their number is bounded. The class does no I/O and reads no clock; times are milliseconds of
+ * part are refused. After a short block time one request is let through as a probe: an answer clears the part, a crash
+ * blocks it for long, and each further probe that crashes for several times as long. Innocent parts that share the crashes
+ * can't be told apart otherwise, because their requests are refused too; the parts of a service are probed one at a time.
+ * Entries expire, and their number is bounded. The class does no I/O and reads no clock; times are milliseconds of
  * a monotonic clock.
  *
  * @example
@@ -64,7 +77,7 @@
   /** Parts that were answered, the least recently answered first. */
   readonly #answered = new Set<string>()
   /** Probe in flight of each service. */
-  readonly #probes = new Map<string, { part: string, untilMs: number }>()
+  readonly #probes = new Map<string, { part: string, startedMs: number, untilMs: number }>()
   readonly #events = new Map<string, CrashEvent>()
   #nextEvent = 1
 
@@ -72,33 +85,34 @@
     this.#probeDelayMs = probeDelayMs
   }
 
-  /**
-   * Records that a target crashed while requests with these prompts were about to be answered. `startedMs` has the time
-   * of placement of each request. Returns the parts that are blocked from now on and were not before.
-   */
-  recordCrash ({ service, target, prompts, startedMs }: { service: string, target: string, prompts: readonly (readonly PromptPart[])[], startedMs?: readonly number[] }, nowMs: number): SuspectPart[] {
+  /** Records a crash of a target. Returns the parts that are blocked from now on and were not before. */
+  recordCrash (crash: Crash, nowMs: number): SuspectPart[] {
+    const { service, target, prompts, startedMs, crashedMs = nowMs } = crash
     this.#expire(nowMs)
-    const event = this.#findEvent(service, target, nowMs)
+    const event = this.#findEvent(service, target, crashedMs)
     const startedByPart = new Map<string, number>()
     for (const [index, parts] of prompts.entries()) {
       for (const part of listSharedParts(parts)) startedByPart.set(part, Math.max(startedByPart.get(part) ?? -Infinity, startedMs?.[index] ?? -Infinity))
     }
-    const repeatedId = this.#nextEvent++
+    const probe = this.#probes.get(service)
     const counted: Suspicion[] = []
     for (const [part, latestStartMs] of startedByPart) {
       const suspicion = this.#getSuspicion({ service, part })
       // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
-      const isRepeated = suspicion.events.includes(event.id)
-      const isEvidence = !isRepeated || (latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS)
+      const isEvidence = suspicion.lastEvent !== event.id || (latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS)
       suspicion.targets = [...suspicion.targets.filter(id => id !== target), target].slice(-MAX_TARGETS)
       if (!isEvidence) continue
-      suspicion.events.push(isRepeated ? repeatedId : event.id)
+      suspicion.lastEvent = event.id
       suspicion.crashes++
-      suspicion.lastCrashMs = nowMs
+      suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, crashedMs)
+      const isProbe = probe?.part === part && latestStartMs >= probe.startedMs
+      if (isProbe) {
+        this.#probes.delete(service)
+        suspicion.probeCrashes++
+      }
+      if (isBlockable(suspicion)) suspicion.blockedUntilMs = Math.max(suspicion.blockedUntilMs, nowMs + computeBlockMs(suspicion))
       counted.push(suspicion)
-      if (this.#probes.get(service)?.part === part) this.#probes.delete(service)
     }
-    this.#updateBlocks(service)
     this.#evict()
     return counted.filter(({ crashes }) => crashes === BLOCKED_FROM_CRASHES).map(suspicion => this.#convert(suspicion, nowMs))
   }
@@ -123,7 +137,7 @@
   findBlocked ({ service, parts }: Prompt, nowMs: number): SuspectPart | undefined {
     const suspicions = this.#findBlockable({ service, parts })
     if (suspicions.length === 0) return undefined
-    const blocked = suspicions.find(suspicion => nowMs < this.#getProbeMs(suspicion))
+    const blocked = suspicions.find(suspicion => nowMs < suspicion.blockedUntilMs + this.#probeDelayMs)
     if (blocked) return this.#convert(blocked, nowMs)
     // A request with several such parts would not show which of them is at fault.
     const isProbeAllowed = suspicions.length === 1 && !(nowMs < (this.#probes.get(service)?.untilMs ?? -Infinity))
@@ -134,7 +148,7 @@
   recordPlacement ({ service, parts }: Prompt, nowMs: number): SuspectPart | undefined {
     const [suspicion] = this.#findBlockable({ service, parts })
     if (!suspicion) return undefined
-    this.#probes.set(service, { part: suspicion.part, untilMs: nowMs + PROBE_TIMEOUT_MS })
+    this.#probes.set(service, { part: suspicion.part, startedMs: nowMs, untilMs: nowMs + PROBE_TIMEOUT_MS })
     return this.#convert(suspicion, nowMs)
   }
 
@@ -147,9 +161,11 @@
   merge (entries: readonly SuspectPart[], nowMs: number): void {
     for (const { service, part, crashes, blockedMs, targets } of entries) {
       const suspicion = this.#getSuspicion({ service, part })
-      suspicion.crashes = Math.max(suspicion.crashes, crashes)
-      suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, nowMs)
-      suspicion.mergedUntilMs = Math.max(suspicion.mergedUntilMs, nowMs + blockedMs)
+      if (crashes > suspicion.crashes) {
+        suspicion.crashes = crashes
+        suspicion.lastCrashMs = nowMs
+      }
+      suspicion.blockedUntilMs = Math.max(suspicion.blockedUntilMs, nowMs + blockedMs)
       suspicion.targets = [...new Set([...targets, ...suspicion.targets])].slice(-MAX_TARGETS)
     }
     this.#evict()
@@ -174,21 +190,16 @@
     return listSharedParts(parts).flatMap(part => this.#suspicions.get(formatKey(service, part)) ?? []).filter(isBlockable)
   }
 
-  #getProbeMs ({ blockedUntilMs, mergedUntilMs }: Suspicion): number {
-    return Math.max(blockedUntilMs, mergedUntilMs) + this.#probeDelayMs
-  }
-
   #convert (suspicion: Suspicion, nowMs: number): SuspectPart {
-    const { service, part, crashes, targets, blockedUntilMs, mergedUntilMs } = suspicion
-    const probe = this.#probes.get(service)
-    const untilMs = Math.max(blockedUntilMs, mergedUntilMs, isBlockable(suspicion) ? probe?.untilMs ?? -Infinity : -Infinity)
+    const { service, part, crashes, targets, blockedUntilMs } = suspicion
+    const probe = isBlockable(suspicion) ? this.#probes.get(service) : undefined
+    const untilMs = Math.max(blockedUntilMs, probe?.untilMs ?? -Infinity)
     return { service, part, crashes, blockedMs: Math.max(0, untilMs - nowMs), targets: [...targets] }
   }
 
-  #findEvent (service: string, target: string, nowMs: number): CrashEvent {
+  #findEvent (service: string, target: string, crashedMs: number): CrashEvent {
     let event = this.#events.get(service)
-    if (!event || nowMs - event.lastMs > EVENT_WINDOW_MS) event = { id: this.#nextEvent++, lastMs: nowMs, targets: new Set() }
-    event.lastMs = nowMs
+    if (!event || crashedMs - event.startedMs > EVENT_WINDOW_MS) event = { id: this.#nextEvent++, startedMs: crashedMs, targets: new Set() }
     event.targets.add(target)
     this.#events.set(service, event)
     return event
@@ -198,7 +209,7 @@
     const key = formatKey(service, part)
     let suspicion = this.#suspicions.get(key)
     if (!suspicion) {
-      suspicion = { service, part, crashes: 0, events: [], targets: [], lastCrashMs: -Infinity, blockedUntilMs: -Infinity, mergedUntilMs: -Infinity, wasAnswered: this.#answered.has(key) }
+      suspicion = { service, part, crashes: 0, probeCrashes: 0, lastEvent: 0, targets: [], lastCrashMs: -Infinity, blockedUntilMs: -Infinity, wasAnswered: this.#answered.has(key) }
       this.#suspicions.set(key, suspicion)
     }
     return suspicion
@@ -207,21 +218,12 @@
   #remove ({ service, part }: Suspicion): void {
     this.#suspicions.delete(formatKey(service, part))
     if (this.#probes.get(service)?.part === part) this.#probes.delete(service)
-    this.#updateBlocks(service)
-  }
-
-  #updateBlocks (service: string): void {
-    const blockable = [...this.#suspicions.values()].filter(suspicion => suspicion.service === service && isBlockable(suspicion))
-    for (const suspicion of blockable) {
-      const isAmbiguous = blockable.some(other => other !== suspicion && suspicion.events.length > 0 && suspicion.events.every(id => other.events.includes(id)))
-      suspicion.blockedUntilMs = suspicion.lastCrashMs + computeBlockMs(suspicion, isAmbiguous)
-    }
   }
 
   #expire (nowMs: number): void {
     for (const suspicion of [...this.#suspicions.values()]) {
       const ttlMs = isBlockable(suspicion) ? BLOCK_TTL_MS : SUSPICION_TTL_MS
-      if (nowMs - Math.max(suspicion.lastCrashMs, suspicion.blockedUntilMs, suspicion.mergedUntilMs) > ttlMs) this.#remove(suspicion)
+      if (nowMs - Math.max(suspicion.lastCrashMs, suspicion.blockedUntilMs) > ttlMs) this.#remove(suspicion)
     }
   }
 
@@ -241,9 +243,9 @@
   return crashes >= BLOCKED_FROM_CRASHES
 }
 
-function computeBlockMs ({ crashes, wasAnswered }: Suspicion, isAmbiguous: boolean): number {
-  if (!isAmbiguous && crashes >= LONG_BLOCK_CRASHES) return Math.min(MAX_BLOCK_MS, LONG_BLOCK_MS * BLOCK_GROWTH ** (crashes - LONG_BLOCK_CRASHES))
-  return isAmbiguous && wasAnswered ? ANSWERED_BLOCK_MS : EARLY_BLOCK_MS
+function computeBlockMs ({ probeCrashes, wasAnswered }: Suspicion): number {
+  if (probeCrashes > 0) return Math.min(MAX_BLOCK_MS, PROBED_BLOCK_MS * BLOCK_GROWTH ** (probeCrashes - 1))
+  return wasAnswered ? ANSWERED_BLOCK_MS : UNKNOWN_BLOCK_MS
 }
 
 function formatKey (service: string, part: string): string {
