--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -223,6 +223,7 @@
       }
       case 'refuse':
         if (this.#isInterrupted) throw createShutdownError()
+        if (conclusion.reason === 'blocked') throw new AppError('prompt-blocked', `The request has not run: targets crash when they answer requests with the prompt part ${conclusion.part}.`, { retryAfterS: conclusion.retryAfterS })
         throw new AppError('no-target', `The request has not run: ${conclusion.reason}.`, { retryAfterS: conclusion.retryAfterS ?? RETRY_AFTER_S })
       case 'fail':
         if (this.#isInterrupted) throw new AppError('outcome-unknown', 'The request may have run: this router stopped before it received the response.')
--- /dev/null
+++ b/src/routing/PromptQuarantine/index.ts
@@ -0,0 +1,279 @@
+import type { PromptPart } from '../../contract/PromptPart'
+import type { SuspectPart } from '../../contract/SuspectPart'
+import type { Suspicion } from './_lib/Suspicion'
+
+interface PromptQuarantineOptions {
+  /**
+   * Time in milliseconds by which probes are later than the end of a block. Instances that don't see the calls of the
+   * whole fleet probe later, so that not each of them probes the same part.
+   */
+  probeDelayMs?: number
+}
+
+interface Crash {
+  service: string
+  target: string
+  /** Prompts of the requests that were about to be answered. */
+  prompts: readonly (readonly PromptPart[])[]
+  /** Time of placement of each of these requests. */
+  startedMs?: readonly number[]
+  /** Time at which the target crashed; that of the report by default. */
+  crashedMs?: number
+}
+
+interface CrashEvent {
+  id: number
+  startedMs: number
+  targets: Set<string>
+}
+
+type Prompt = { service: string, parts: readonly PromptPart[] }
+
+/** A single crash is too little evidence: it puts all parts of the requests at the target under suspicion. */
+const BLOCKED_FROM_CRASHES = 2
+/** Crashes of several targets within this time, as in the power loss of a zone, count once per part. */
+const EVENT_WINDOW_MS = 300
+/** From this number of targets on, the crashes of an event are not caused by a request and its retry. */
+const MASS_EVENT_TARGETS = 3
+/**
+ * Block time before the first probe. Several innocent parts may share the crashes of the one at fault; those that were
+ * answered before are less likely to be at fault, so they are probed first.
+ */
+const ANSWERED_BLOCK_MS = 300
+const UNKNOWN_BLOCK_MS = 2_000
+/** A crash by a probe shows that the part is at fault. Each further one makes the block several times as long. */
+const PROBED_BLOCK_MS = 60_000
+const BLOCK_GROWTH = 4
+const MAX_BLOCK_MS = 24 * 3_600_000
+/** A probe that has neither been answered nor crashed its target after this time has had no result. */
+const PROBE_TIMEOUT_MS = 3_000
+const SUSPICION_TTL_MS = 600_000
+const BLOCK_TTL_MS = 3_600_000
+const MAX_SUSPICIONS = 1_000
+const MAX_ANSWERED_PARTS = 4_096
+const MAX_TARGETS = 8
+/** For this time after a part was answered or released, copies of other instances that still contain it are ignored. */
+const CLEARED_TTL_MS = 600_000
+
+/**
+ * @name PromptQuarantine
+ * @category Routing
+ * @summary Decides which prompt parts are refused because targets crash when they answer requests with them.
+ *
+ * @description
+ * Every part except the last of a request that was about to be answered when its target crashed is suspected. A later
+ * answer to a request with the part clears it. From the second crash on without an answer in between, requests with the
+ * part are refused. After a short block time one request is let through as a probe: an answer clears the part, a crash
+ * blocks it for long, and each further probe that crashes for several times as long. Innocent parts that share the crashes
+ * can't be told apart otherwise, because their requests are refused too; the parts of a service are probed one at a time.
+ * Entries expire, and their number is bounded. The class does no I/O and reads no clock; times are milliseconds of
+ * a monotonic clock.
+ *
+ * @example
+ * quarantine.recordCrash({ service: 's', target: 'i-1', prompts: [parts] }, nowMs) // parts that are blocked from now on
+ * quarantine.findBlocked({ service: 's', parts }, nowMs) // undefined if the request may be placed
+ */
+export class PromptQuarantine {
+  readonly #probeDelayMs: number
+  readonly #suspicions = new Map<string, Suspicion>()
+  /** Parts that were answered, the least recently answered first. */
+  readonly #answered = new Set<string>()
+  /** Probe in flight of each service. */
+  readonly #probes = new Map<string, { part: string, startedMs: number, untilMs: number }>()
+  readonly #events = new Map<string, CrashEvent>()
+  /** Times at which parts were answered or released, the oldest first. */
+  readonly #clearedMs = new Map<string, number>()
+  #nextEvent = 1
+  #crashes = 0
+
+  constructor ({ probeDelayMs = 0 }: PromptQuarantineOptions = {}) {
+    this.#probeDelayMs = probeDelayMs
+  }
+
+  /** Number of crashes of targets that were recorded here. */
+  get crashes (): number {
+    return this.#crashes
+  }
+
+  /** Records a crash of a target. Returns the parts that are blocked from now on and were not before. */
+  recordCrash (crash: Crash, nowMs: number): SuspectPart[] {
+    const { service, target, prompts, startedMs, crashedMs = nowMs } = crash
+    this.#expire(nowMs)
+    this.#crashes++
+    const event = this.#findEvent(service, target, crashedMs)
+    const startedByPart = new Map<string, number>()
+    for (const [index, parts] of prompts.entries()) {
+      for (const part of listSharedParts(parts)) startedByPart.set(part, Math.max(startedByPart.get(part) ?? -Infinity, startedMs?.[index] ?? -Infinity))
+    }
+    const probe = this.#probes.get(service)
+    const counted: Suspicion[] = []
+    for (const [part, latestStartMs] of startedByPart) {
+      const suspicion = this.#getSuspicion({ service, part })
+      this.#clearedMs.delete(formatKey(service, part))
+      // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
+      const isEvidence = suspicion.lastEvent !== event.id || (latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS)
+      suspicion.targets = [...suspicion.targets.filter(id => id !== target), target].slice(-MAX_TARGETS)
+      if (!isEvidence) continue
+      suspicion.lastEvent = event.id
+      suspicion.crashes++
+      suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, crashedMs)
+      const isProbe = probe?.part === part && latestStartMs >= probe.startedMs
+      if (isProbe) {
+        this.#probes.delete(service)
+        suspicion.probeCrashes++
+      }
+      if (isBlockable(suspicion)) suspicion.blockedUntilMs = Math.max(suspicion.blockedUntilMs, nowMs + computeBlockMs(suspicion))
+      counted.push(suspicion)
+    }
+    this.#evict()
+    return counted.filter(({ crashes }) => crashes === BLOCKED_FROM_CRASHES).map(suspicion => this.#convert(suspicion, nowMs))
+  }
+
+  /** Records that a target began to answer at `nowMs` and survived it. Returns the parts that were blocked until now. */
+  recordAnswer ({ service, parts }: Prompt, nowMs: number): SuspectPart[] {
+    const cleared: SuspectPart[] = []
+    for (const part of listSharedParts(parts)) {
+      const key = formatKey(service, part)
+      this.#answered.delete(key)
+      this.#answered.add(key)
+      const suspicion = this.#suspicions.get(key)
+      if (!suspicion || nowMs <= suspicion.lastCrashMs) continue
+      if (isBlockable(suspicion)) cleared.push(this.#convert(suspicion, nowMs))
+      this.#recordCleared(key, nowMs)
+      this.#remove(suspicion)
+    }
+    if (this.#answered.size > MAX_ANSWERED_PARTS) for (const key of this.#answered) if (this.#answered.delete(key) && this.#answered.size <= MAX_ANSWERED_PARTS) break
+    return cleared
+  }
+
+  /** Finds a part because of which the request must be refused. */
+  findBlocked ({ service, parts }: Prompt, nowMs: number): SuspectPart | undefined {
+    const suspicions = this.#findBlockable({ service, parts })
+    if (suspicions.length === 0) return undefined
+    const blocked = suspicions.find(suspicion => nowMs < suspicion.blockedUntilMs + this.#probeDelayMs)
+    if (blocked) return this.#convert(blocked, nowMs)
+    // A request with several such parts would not show which of them is at fault.
+    const isProbeAllowed = suspicions.length === 1 && !(nowMs < (this.#probes.get(service)?.untilMs ?? -Infinity))
+    return isProbeAllowed ? undefined : this.#convert(suspicions[0], nowMs)
+  }
+
+  /** Records that a request has been placed. Returns the part for which the request is the probe. */
+  recordPlacement ({ service, parts }: Prompt, nowMs: number): SuspectPart | undefined {
+    const [suspicion] = this.#findBlockable({ service, parts })
+    if (!suspicion) return undefined
+    this.#probes.set(service, { part: suspicion.part, startedMs: nowMs, untilMs: nowMs + PROBE_TIMEOUT_MS })
+    return this.#convert(suspicion, nowMs)
+  }
+
+  list (nowMs: number): SuspectPart[] {
+    this.#expire(nowMs)
+    return [...this.#suspicions.values()].map(suspicion => this.#convert(suspicion, nowMs))
+  }
+
+  /**
+   * Adopts what another instance knows: of each part the higher count and the later end of the block. Parts that were
+   * answered or released here are not adopted for some minutes, because the copy may be older.
+   */
+  merge (entries: readonly SuspectPart[], nowMs: number): void {
+    for (const { service, part, crashes, blockedMs, targets } of entries) {
+      if (nowMs - (this.#clearedMs.get(formatKey(service, part)) ?? -Infinity) < CLEARED_TTL_MS) continue
+      const suspicion = this.#getSuspicion({ service, part })
+      if (crashes > suspicion.crashes) {
+        suspicion.crashes = crashes
+        suspicion.lastCrashMs = nowMs
+      }
+      suspicion.blockedUntilMs = Math.max(suspicion.blockedUntilMs, nowMs + blockedMs)
+      suspicion.targets = [...new Set([...targets, ...suspicion.targets])].slice(-MAX_TARGETS)
+    }
+    this.#evict()
+  }
+
+  /** Replaces all entries by those of another instance. */
+  replace (entries: readonly SuspectPart[], nowMs: number): void {
+    this.#suspicions.clear()
+    this.#probes.clear()
+    this.#clearedMs.clear()
+    this.merge(entries, nowMs)
+  }
+
+  /** Removes a part at the request of an operator. Returns whether it was suspected. */
+  release ({ service, part }: { service: string, part: string }, nowMs: number): boolean {
+    const key = formatKey(service, part)
+    const suspicion = this.#suspicions.get(key)
+    if (suspicion) this.#remove(suspicion)
+    this.#recordCleared(key, nowMs)
+    return suspicion !== undefined
+  }
+
+  #recordCleared (key: string, nowMs: number): void {
+    this.#clearedMs.delete(key)
+    this.#clearedMs.set(key, nowMs)
+    if (this.#clearedMs.size > MAX_SUSPICIONS) for (const oldest of this.#clearedMs.keys()) if (this.#clearedMs.delete(oldest)) break
+  }
+
+  #findBlockable ({ service, parts }: Prompt): Suspicion[] {
+    if (this.#suspicions.size === 0) return []
+    return listSharedParts(parts).flatMap(part => this.#suspicions.get(formatKey(service, part)) ?? []).filter(isBlockable)
+  }
+
+  #convert (suspicion: Suspicion, nowMs: number): SuspectPart {
+    const { service, part, crashes, targets, blockedUntilMs } = suspicion
+    const probe = isBlockable(suspicion) ? this.#probes.get(service) : undefined
+    const untilMs = Math.max(blockedUntilMs, probe?.untilMs ?? -Infinity)
+    return { service, part, crashes, blockedMs: Math.max(0, untilMs - nowMs), targets: [...targets] }
+  }
+
+  #findEvent (service: string, target: string, crashedMs: number): CrashEvent {
+    let event = this.#events.get(service)
+    if (!event || crashedMs - event.startedMs > EVENT_WINDOW_MS) event = { id: this.#nextEvent++, startedMs: crashedMs, targets: new Set() }
+    event.targets.add(target)
+    this.#events.set(service, event)
+    return event
+  }
+
+  #getSuspicion ({ service, part }: { service: string, part: string }): Suspicion {
+    const key = formatKey(service, part)
+    let suspicion = this.#suspicions.get(key)
+    if (!suspicion) {
+      suspicion = { service, part, crashes: 0, probeCrashes: 0, lastEvent: 0, targets: [], lastCrashMs: -Infinity, blockedUntilMs: -Infinity, wasAnswered: this.#answered.has(key) }
+      this.#suspicions.set(key, suspicion)
+    }
+    return suspicion
+  }
+
+  #remove ({ service, part }: Suspicion): void {
+    this.#suspicions.delete(formatKey(service, part))
+    if (this.#probes.get(service)?.part === part) this.#probes.delete(service)
+  }
+
+  #expire (nowMs: number): void {
+    for (const suspicion of [...this.#suspicions.values()]) {
+      const ttlMs = isBlockable(suspicion) ? BLOCK_TTL_MS : SUSPICION_TTL_MS
+      if (nowMs - Math.max(suspicion.lastCrashMs, suspicion.blockedUntilMs) > ttlMs) this.#remove(suspicion)
+    }
+  }
+
+  /** Evicts the suspicions with the fewest crashes, of these the oldest. */
+  #evict (): void {
+    if (this.#suspicions.size <= MAX_SUSPICIONS) return
+    const weakest = [...this.#suspicions.values()].sort((a, b) => a.crashes - b.crashes || a.lastCrashMs - b.lastCrashMs)
+    for (const suspicion of weakest.slice(0, this.#suspicions.size - MAX_SUSPICIONS)) this.#remove(suspicion)
+  }
+}
+
+function listSharedParts (parts: readonly PromptPart[]): string[] {
+  return [...new Set(parts.slice(0, -1).map(({ id }) => id))]
+}
+
+function isBlockable ({ crashes }: Suspicion): boolean {
+  return crashes >= BLOCKED_FROM_CRASHES
+}
+
+function computeBlockMs ({ probeCrashes, wasAnswered }: Suspicion): number {
+  if (probeCrashes > 0) return Math.min(MAX_BLOCK_MS, PROBED_BLOCK_MS * BLOCK_GROWTH ** (probeCrashes - 1))
+  return wasAnswered ? ANSWERED_BLOCK_MS : UNKNOWN_BLOCK_MS
+}
+
+function formatKey (service: string, part: string): string {
+  return `${service} ${part}`
+}
