--- a/src/lifecycle/ProcessSignals/test.ts
+++ b/src/lifecycle/ProcessSignals/test.ts
@@ -8,7 +8,8 @@
   function createSignals () {
     const stops: string[] = []
     const ignored: string[] = []
-    const signals = new ProcessSignals({ onStop: signal => stops.push(signal), onIgnore: signal => ignored.push(signal) })
+    const signals = new ProcessSignals()
+    signals.onStop({ onStop: signal => stops.push(signal), onIgnore: signal => ignored.push(signal) })
     return { signals, stops, ignored }
   }
 
@@ -37,4 +38,14 @@
     process.emit('SIGHUP', 'SIGHUP')
     expect(reloads).toBe(2)
   })
+
+  // Guards against a reload in the middle of a stop, which would open connections again.
+  it('drops a kept SIGHUP when the process stops before the reload listener is set', () => {
+    const { signals } = createSignals()
+    process.emit('SIGHUP', 'SIGHUP')
+    process.emit('SIGTERM', 'SIGTERM')
+    let reloads = 0
+    signals.onReload(() => { reloads++ })
+    expect(reloads).toBe(0)
+  })
 })
