Test the refusal of prompts with a blocked part

Without the check in the scheduler and the case in the planner the tests fail: Received has value: undefined (verdict of the waiting prompt) "done": false (the planner starts a next attempt)

--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -179,4 +179,21 @@
     }
     expect(place(1)).toBeGreaterThan(3 * place(1 / 9))
   })
+
+  // Guards against a prompt part that crashes one target after the other, and against calls that crash one after they waited.
+  it('refuses prompts with a part under which two targets crashed, also those that wait', () => {
+    const scheduler = createScheduler()
+    const crashing = (...shared: string[]) => createRequest({ parts: [...shared, `own${nextId}`].map(id => ({ id, tokens: 10 })) })
+    const [first, second] = [crashing('a', 'bad'), crashing('b', 'bad')]
+    scheduler.request(first, 0)
+    scheduler.record(first.id, 'lost', 100)
+    const target = getTarget(scheduler.request(second, 3_000))
+    const waiting = createRequest({ parts: ['c', 'bad', 'own'].map(id => ({ id, tokens: 10 })), ownTokens: 90_000, objectiveMs: 1 })
+    for (let i = 0; i < 8; i++) scheduler.request(createRequest({ shared: 'bad' }), 3_001)
+    expect(scheduler.request(waiting, 3_002)).toBeUndefined()
+    for (const call of scheduler.listRunning()) if (call.target === target) scheduler.record(call.request.id, 'lost', 3_100)
+    expect(new Map(scheduler.step(3_110)).get(waiting.id)).toMatchObject({ type: 'blocked', part: 'bad', crashes: 2 })
+    expect(scheduler.request(crashing('d', 'bad'), 3_120)).toMatchObject({ type: 'blocked', part: 'bad' })
+    expect(getTarget(scheduler.request(crashing('a'), 3_120))).toMatch(/^t/)
+  })
 })
--- a/src/routing/planAttempts/test.ts
+++ b/src/routing/planAttempts/test.ts
@@ -61,4 +61,13 @@
     expect(getLastStep([{ type: 'expired', isSent: true, isStarted: false }])?.value).toEqual({ type: 'fail', reason: 'expired' })
     expect(getLastStep([{ type: 'expired', isSent: true, isStarted: true }])?.value).toEqual({ type: 'break' })
   })
+
+  // Guards against a retry that crashes one more target, and against "not run" for a request that crashed one before.
+  it('refuses a request with a blocked part at once, as not run only if no target may have run it', () => {
+    const blocked: AttemptResult = { type: 'blocked', part: 'p', crashes: 2, retryAfterS: 9 }
+    expect(getLastStep([blocked], { isRetryable: true })).toEqual({ done: true, value: { type: 'refuse', reason: 'blocked', part: 'p', retryAfterS: 9 } })
+    expect(getLastStep([{ type: 'unsent', target: 'a' }, blocked], { isRetryable: true })?.value).toMatchObject({ type: 'refuse', reason: 'blocked' })
+    expect(getLastStep([lost, blocked], { isRetryable: true })?.value).toEqual({ type: 'fail', reason: 'lost' })
+    expect(getLastStep([{ type: 'lost', target: 'a', isStarted: true, lastEventId: '7' }, blocked], { isRetryable: true })?.value).toEqual({ type: 'break' })
+  })
 })
