Count a part twice that is suspected of the first three crashes of an event

Crashes within 300 ms count once per part, so that the power loss of a zone puts no healthy part under suspicion for long. A part that is suspected of all of the first three crashes is now counted once more.

--- a/src/routing/PromptQuarantine/_lib/Suspicion/index.ts
+++ b/src/routing/PromptQuarantine/_lib/Suspicion/index.ts
@@ -5,8 +5,9 @@
   crashes: number
   /** Number of those crashes that a probe caused. */
   probeCrashes: number
-  /** Id of the last crash event that was counted here. */
-  lastEvent: number
+  /** Id of the last event of crashes that the part was suspected of, and the number of these crashes. */
+  eventId: number
+  eventCrashes: number
   targets: string[]
   lastCrashMs: number
   /** End of the time for which every request with the part is refused. */
--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -24,6 +24,7 @@
 interface CrashEvent {
   id: number
   startedMs: number
+  crashes: number
   targets: Set<string>
 }
 
@@ -33,7 +34,10 @@
 const BLOCKED_FROM_CRASHES = 2
 /** Crashes of several targets within this time, as in the power loss of a zone, count once per part. */
 const EVENT_WINDOW_MS = 300
-/** From this number of targets on, the crashes of an event are not caused by a request and its retry. */
+/**
+ * From this number of targets on, an event is not caused by a request and its retry alone. A part that is suspected of
+ * all of its crashes is counted once more, because only few parts have requests at each of several targets.
+ */
 const MASS_EVENT_TARGETS = 3
 /**
  * Block time before the first probe. Several innocent parts may share the crashes of the one at fault; those that were
@@ -98,11 +102,13 @@
     const counted: Suspicion[] = []
     for (const [part, latestStartMs] of startedByPart) {
       const suspicion = this.#getSuspicion({ service, part })
-      // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
-      const isEvidence = suspicion.lastEvent !== event.id || (latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS)
+      if (suspicion.eventId !== event.id) Object.assign(suspicion, { eventId: event.id, eventCrashes: 0 })
+      suspicion.eventCrashes++
       suspicion.targets = [...suspicion.targets.filter(id => id !== target), target].slice(-MAX_TARGETS)
-      if (!isEvidence) continue
-      suspicion.lastEvent = event.id
+      // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
+      const isRepeated = latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS
+      const isCommon = event.crashes === MASS_EVENT_TARGETS && suspicion.eventCrashes === event.crashes
+      if (suspicion.eventCrashes > 1 && !isRepeated && !isCommon) continue
       suspicion.crashes++
       suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, crashedMs)
       const isProbe = probe?.part === part && latestStartMs >= probe.startedMs
@@ -199,7 +205,8 @@
 
   #findEvent (service: string, target: string, crashedMs: number): CrashEvent {
     let event = this.#events.get(service)
-    if (!event || crashedMs - event.startedMs > EVENT_WINDOW_MS) event = { id: this.#nextEvent++, startedMs: crashedMs, targets: new Set() }
+    if (!event || crashedMs - event.startedMs > EVENT_WINDOW_MS) event = { id: this.#nextEvent++, startedMs: crashedMs, crashes: 0, targets: new Set() }
+    event.crashes++
     event.targets.add(target)
     this.#events.set(service, event)
     return event
@@ -209,7 +216,7 @@
     const key = formatKey(service, part)
     let suspicion = this.#suspicions.get(key)
     if (!suspicion) {
-      suspicion = { service, part, crashes: 0, probeCrashes: 0, lastEvent: 0, targets: [], lastCrashMs: -Infinity, blockedUntilMs: -Infinity, wasAnswered: this.#answered.has(key) }
+      suspicion = { service, part, crashes: 0, probeCrashes: 0, eventId: 0, eventCrashes: 0, targets: [], lastCrashMs: -Infinity, blockedUntilMs: -Infinity, wasAnswered: this.#answered.has(key) }
       this.#suspicions.set(key, suspicion)
     }
     return suspicion
