Let the scheduler decide on short blocks of prompt parts

Callers of sound requests were refused up to 250 ms longer than needed: a router refused by its copy while the leader had already cleared the part after an answer to a probe. A router now refuses by itself only what is blocked for longer than a probe takes, and asks the scheduler otherwise. It hands its copy over to a new scheduler with its running calls, before its first request for a placement.

--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -27,6 +27,11 @@
 const FALLBACK_MS = 500
 /** Routers that place prompts themselves probe a blocked part this much later, because each of them would probe it. */
 const PROBE_DELAY_MS = 10_000
+/**
+ * Longer than a probe. A shorter block may end at any moment with the answer to a probe, which the scheduler knows before
+ * its copy at this router.
+ */
+const MIN_CERTAIN_BLOCK_MS = 3_500
 
 /**
  * @name PlacementClient
@@ -35,8 +40,8 @@
  *
  * @description
  * The local scheduler tracks all calls of this router and can take over at any moment while the scheduler of the fleet
- * can't be reached. It assumes that this router has an equal share of the load of the fleet. Prompts with a blocked part
- * are refused without asking the scheduler.
+ * can't be reached. It assumes that this router has an equal share of the load of the fleet. Prompts with a part
+ * that is blocked for long are refused without asking the scheduler.
  *
  * @example
  * const { verdict } = await placements.request(request)
@@ -94,7 +99,6 @@
   async #place (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
     const link = this.#findLink()
     if (!link) return this.#requestLocally(request)
-    // After the end of a block the scheduler decides, because it lets one request of the whole fleet through as a probe.
     const refusal = this.#findRefusal(request, performance.now())
     if (refusal) return { verdict: refusal, scheduler: 'local' }
     try {
@@ -129,9 +133,10 @@
     this.#localQueue.close()
   }
 
+  /** Finds a refusal that the scheduler would give too. It decides on short blocks and on the probe after a block. */
   #findRefusal (request: PlacementRequest, nowMs: number): PlacementVerdict | undefined {
     const blocked = this.quarantine.findBlocked(request, nowMs)
-    return blocked && blocked.blockedMs > 0 ? this.#crashMonitor.findRefusal(request, nowMs) : undefined
+    return blocked && blocked.blockedMs > MIN_CERTAIN_BLOCK_MS ? this.#crashMonitor.findRefusal(request, nowMs) : undefined
   }
 
   async #requestLocally (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
@@ -145,11 +150,12 @@
     return link
   }
 
-  /** Reports the running calls of this router to a new scheduler. */
+  /** Reports the running calls of this router, and the prompt parts that it suspects, to a new scheduler. */
   #registerAt (link: Link): void {
     this.#registeredLink = link
     const running = this.#localScheduler.listRunning()
     link.send('adoptPlacements', running)
+    this.#suspectCopy.send(link, performance.now())
     for (const { request } of running) this.#linksByCall.set(request.id, link)
     this.#options.logger.info('A scheduler was found.', { scheduler: link.peer.instance, running: running.length })
   }
--- a/src/gateway/PlacementClient/test.ts
+++ b/src/gateway/PlacementClient/test.ts
@@ -77,7 +77,7 @@
 
   // Guards against a part that crashes further targets while a router waits for the verdict of a scheduler that was lost,
   // and against blocks that never end because no router asks the scheduler for a probe.
-  it('refuses prompts with a blocked part without asking the scheduler, and asks it again after the end of the block', async () => {
+  it('refuses prompts with a part that is blocked for long without asking the scheduler, and asks it about short blocks', async () => {
     const { link, requests } = createLink(async () => ({ type: 'blocked', part: 'bad', crashes: 3, retryAfterS: 1 }))
     const client = createClient(() => link)
     const request = { ...createRequest('1'), callId: 'c', parts: [{ id: 'bad', tokens: 100 }, { id: 'last', tokens: 1 }] }
@@ -87,9 +87,23 @@
     expect(await client.request(request)).toMatchObject({ scheduler: 'local', verdict: { type: 'blocked', part: 'bad', crashes: 3 } })
     expect(requests).toEqual([])
     expect(client.countBlockedParts()).toBe(1)
-    client.applySummary({ suspects: [{ ...suspect, blockedMs: 0 }], term: 1 }, link)
+    client.applySummary({ suspects: [{ ...suspect, blockedMs: 3_000 }], term: 1 }, link)
     expect(await client.request(request)).toMatchObject({ scheduler: 'c1', verdict: { type: 'blocked' } })
     expect(requests).toEqual(['1'])
     expect(client.blockedCalls).toBe(2)
   })
+
+  // Guards against a new scheduler that places a prompt with a blocked part, because it has not received the copy yet.
+  it('hands its suspected parts over to a new scheduler before it asks for a placement', async () => {
+    const place = async () => ({ type: 'place', target: 't1', waitMs: 0, readMs: 5 })
+    const [first, second] = [createLink(place), createLink(place)]
+    let current = first
+    const client = createClient(() => current.link)
+    client.applySummary({ suspects: [], term: 1 }, first.link)
+    client.applySummary({ suspects: [{ service: 's', part: 'bad', crashes: 2, blockedMs: 300, targets: ['t0'] }], term: 1 }, first.link)
+    current = second
+    await client.request({ ...createRequest('1'), callId: 'c' })
+    expect(second.sent.map(([type]) => type)).toEqual(['adoptPlacements', 'adoptSuspects'])
+    expect(second.sent[1]).toMatchObject(['adoptSuspects', [{ part: 'bad', crashes: 2 }]])
+  })
 })
--- a/src/gateway/SuspectCopy/index.ts
+++ b/src/gateway/SuspectCopy/index.ts
@@ -40,9 +40,14 @@
     }
     if (this.#adopter?.link === link && this.#adopter.term === term) return this.#quarantine.replace(suspects, nowMs)
     this.#adopter = { link, term }
+    this.send(link, nowMs)
+    this.#quarantine.merge(suspects, nowMs)
+  }
+
+  /** Hands the copy over to the scheduler. */
+  send (link: Link, nowMs: number): void {
     const own = selectSuspects(this.#quarantine.list(nowMs), { max: MAX_SUSPECTS })
     if (own.length > 0) link.send('adoptSuspects', own)
-    this.#quarantine.merge(suspects, nowMs)
   }
 
   /** Records that this router decides by itself: what it observes is handed over at the next summary. */
