Report a crash also while a call that was not read still connects

A crash was reported only once every call that ran at the target had ended. A router that still tried to connect to the crashed target kept its call open for longer than the 400 ms of the window, so the crash was dropped and its parts stayed unsuspected. After the window, calls that were not read no longer speak for the target; a call that was read still does.

--- a/src/routing/CrashDetector/index.ts
+++ b/src/routing/CrashDetector/index.ts
@@ -10,6 +10,7 @@
 }
 
 interface LossEpisode {
+  service: string
   firstMs: number
   suspects: Call[]
   /** Calls that ran when the first one was lost and whose end is not known yet. */
@@ -84,7 +85,7 @@
       return undefined
     }
     const isLost = event === 'lost' || event === 'unreachable'
-    if (event === 'lost' && !this.#episodes.has(call.target) && !this.#isDown(call.target, nowMs)) this.#openEpisode(call.target, nowMs)
+    if (event === 'lost' && !this.#episodes.has(call.target) && !this.#isDown(call.target, nowMs)) this.#openEpisode(call, nowMs)
     this.#removeCall(id, call)
     const episode = this.#episodes.get(call.target)
     if (!episode) return undefined
@@ -95,7 +96,20 @@
       this.#begun.delete(call)
       if (call.readMs === undefined || call.readMs > episode.firstMs - SURVIVAL_MS) episode.suspects.push(call)
     }
-    return episode.undecided.size === 0 ? this.#conclude(call, episode, nowMs) : undefined
+    return episode.undecided.size === 0 ? this.#conclude(call.target, episode, nowMs) : undefined
+  }
+
+  /**
+   * Takes the crashes at which not all calls have ended in time. A call that was not read may still be connecting to the
+   * crashed target, so it does not show that the target works.
+   */
+  takeOverdueCrashes (nowMs: number): Crash[] {
+    const crashes: Crash[] = []
+    for (const [target, episode] of this.#episodes) {
+      const crash = nowMs - episode.firstMs > LOSS_WINDOW_MS ? this.#conclude(target, episode, nowMs) : undefined
+      if (crash) crashes.push(crash)
+    }
+    return crashes
   }
 
   /** Takes the calls whose answer began and was survived by the target, with the time at which it began. */
@@ -112,8 +126,8 @@
     return answered
   }
 
-  #openEpisode (target: string, nowMs: number): void {
-    this.#episodes.set(target, { firstMs: nowMs, suspects: [], undecided: new Set(this.#callsByTarget.get(target)), lost: 0, survivors: 0 })
+  #openEpisode ({ service, target }: Call, nowMs: number): void {
+    this.#episodes.set(target, { service, firstMs: nowMs, suspects: [], undecided: new Set(this.#callsByTarget.get(target)), lost: 0, survivors: 0 })
   }
 
   /** Ends the episode of a target some of whose calls go on: it has not crashed. */
@@ -122,14 +136,15 @@
     if (episode && nowMs - episode.firstMs > LOSS_WINDOW_MS) this.#episodes.delete(target)
   }
 
-  #conclude ({ service, target }: Call, episode: LossEpisode, nowMs: number): Crash | undefined {
+  #conclude (target: string, { service, firstMs, suspects, undecided, lost, survivors }: LossEpisode, nowMs: number): Crash | undefined {
     this.#episodes.delete(target)
+    if ([...undecided].some(id => this.#calls.get(id)?.readMs !== undefined)) return undefined
     // Calls that ended shortly before a crash may be reported late, so that a few of them don't disprove it.
-    if (episode.lost <= episode.survivors) return undefined
+    if (lost <= survivors + undecided.size) return undefined
     this.#crashedMs.set(target, nowMs)
     // What the target had just begun and ended well is neither suspected nor cleared.
-    for (const call of this.#begun) if (call.target === target && call.readMs! > episode.firstMs - SURVIVAL_MS) this.#begun.delete(call)
-    return { service, target, prompts: episode.suspects.map(({ parts }) => parts), startedMs: episode.suspects.map(({ startedMs }) => startedMs), crashedMs: episode.firstMs }
+    for (const call of this.#begun) if (call.target === target && call.readMs! > firstMs - SURVIVAL_MS) this.#begun.delete(call)
+    return { service, target, prompts: suspects.map(({ parts }) => parts), startedMs: suspects.map(({ startedMs }) => startedMs), crashedMs: firstMs }
   }
 
   #isDown (target: string, nowMs: number): boolean {
--- a/src/routing/CrashDetector/test.ts
+++ b/src/routing/CrashDetector/test.ts
@@ -33,6 +33,25 @@
     expect(detector.record('3', 'ended', 2_000)).toBeUndefined()
   })
 
+  // Guards against a crash that goes unnoticed, because a router still tries to connect to the crashed target.
+  it('reports a crash after some time although a call that was not read has not ended', () => {
+    const detector = createDetector({ 1: 'a', 2: 'a', 3: 'a' })
+    detector.record('1', 'lost', 100)
+    detector.record('2', 'lost', 110)
+    expect(detector.takeOverdueCrashes(450)).toEqual([])
+    expect(detector.takeOverdueCrashes(510)).toMatchObject([{ target: 'a', crashedMs: 100, startedMs: [0, 0] }])
+    expect(detector.takeOverdueCrashes(520)).toEqual([])
+  })
+
+  // Guards against suspicion after a cut between a zone and a target, while a call of another zone is being answered.
+  it('reports no crash after that time if a call that was read goes on', () => {
+    const detector = createDetector({ 1: 'a', 2: 'a', 3: 'a' })
+    detector.record('3', 'read', 50)
+    detector.record('1', 'lost', 100)
+    detector.record('2', 'lost', 110)
+    expect(detector.takeOverdueCrashes(510)).toEqual([])
+  })
+
   // Guards against a truncated answer that counts as a crash because the other call at the target ended well soon after.
   it('reports no crash if as many calls end well as are lost', () => {
     const detector = createDetector({ 1: 'a', 2: 'a' })
--- a/src/routing/CrashMonitor/index.ts
+++ b/src/routing/CrashMonitor/index.ts
@@ -11,6 +11,7 @@
   logger: ComponentLogger
 }
 
+type Crash = NonNullable<ReturnType<CrashDetector['record']>>
 type BlockedVerdict = Extract<PlacementVerdict, { type: 'blocked' }>
 
 /** Refused callers are told to retry no earlier than after this time, also shortly before the end of a block. */
@@ -40,7 +41,7 @@
 
   /** Returns the verdict that refuses the request because of a blocked part. */
   findRefusal (request: PlacementRequest, nowMs: number): BlockedVerdict | undefined {
-    this.#recordAnswers(nowMs)
+    this.#update(nowMs)
     const blocked = this.#options.quarantine.findBlocked(request, nowMs)
     if (!blocked) return undefined
     return { type: 'blocked', part: blocked.part, crashes: blocked.crashes, retryAfterS: Math.max(MIN_RETRY_AFTER_S, blocked.blockedMs / 1e3) }
@@ -58,9 +59,12 @@
   }
 
   record (id: string, event: PlacementProgress[number][1], nowMs: number): void {
-    this.#recordAnswers(nowMs)
+    this.#update(nowMs)
     const crash = this.#detector.record(id, event, nowMs)
-    if (!crash) return
+    if (crash) this.#recordCrash(crash, nowMs)
+  }
+
+  #recordCrash (crash: Crash, nowMs: number): void {
     const suspects = [...new Set(crash.prompts.flatMap(parts => parts.slice(0, -1).map(({ id }) => id)))]
     const { service, target } = crash
     this.#options.logger.warn('A target crashed.', { service, target, requests: crash.prompts.length, suspects: suspects.slice(0, MAX_LOGGED_SUSPECTS) })
@@ -70,7 +74,9 @@
     }
   }
 
-  #recordAnswers (nowMs: number): void {
+  /** Concludes what time has decided since the last event. */
+  #update (nowMs: number): void {
+    for (const crash of this.#detector.takeOverdueCrashes(nowMs)) this.#recordCrash(crash, nowMs)
     for (const { service, parts, readMs } of this.#detector.takeAnswered(nowMs)) {
       for (const cleared of this.#options.quarantine.recordAnswer({ service, parts }, readMs)) this.#log('A prompt part was answered and is no longer blocked.', cleared)
     }
--- a/src/routing/PromptQuarantine/_lib/runCrashDay/index.ts
+++ b/src/routing/PromptQuarantine/_lib/runCrashDay/index.ts
@@ -89,6 +89,7 @@
 
   const send = (parts: PromptPart[], options: { isBad: boolean, attempts: number, excluded?: number, onRead?: () => void, onRefused?: (retryMs: number) => void }): void => {
     const { isBad, attempts, excluded, onRead, onRefused } = options
+    for (const crash of detector.takeOverdueCrashes(nowMs)) policy.recordCrash(crash, nowMs)
     for (const { parts, readMs } of detector.takeAnswered(nowMs)) policy.recordAnswer({ service, parts }, readMs)
     const blocked = policy.findBlocked({ service, parts }, nowMs)
     if (blocked) {
--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -135,7 +135,10 @@
       if (isBlockable(suspicion)) cleared.push(this.#convert(suspicion, nowMs))
       this.#remove(suspicion)
     }
-    if (this.#answered.size > MAX_ANSWERED_PARTS) for (const key of this.#answered) if (this.#answered.delete(key) && this.#answered.size <= MAX_ANSWERED_PARTS) break
+    for (const key of this.#answered) {
+      if (this.#answered.size <= MAX_ANSWERED_PARTS) break
+      this.#answered.delete(key)
+    }
     return cleared
   }
 
