Refuse a resumed stream that repeats events

Callers found events twice in a stream that then ended as if it were complete: a target that ignores or misreads the id after which it should resume begins anew or with the last event, and the router forwarded whatever came.

The first event of a resumed stream must have a larger id than the last one that was forwarded (another id, if they are no numbers). Otherwise the attempt is lost before any of its events is forwarded. The events aren't skipped: they come from another run, whose text may differ.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -114,8 +114,10 @@
   }
 
   #pipeEvents (chunk: Buffer): void {
-    const { bytes, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
+    const { bytes, firstEventId, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
     if (!bytes) return
+    const { resumedEventId } = this.#options
+    if (resumedEventId !== undefined && firstEventId !== undefined && !isLaterId(firstEventId, resumedEventId)) return this.#refuseResponse()
     this.#lastEventId = isLastIdentified ? lastEventId : undefined
     if (!this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
   }
@@ -148,3 +150,8 @@
     return { type: 'lost', target: this.#options.target, isStarted: this.#options.writer.isStarted, lastEventId: this.#lastEventId }
   }
 }
+
+/** Whether an event follows another one. Ids that are no numbers have no order, but differ. */
+function isLaterId (id: string, earlierId: string): boolean {
+  return Number(id) > Number(earlierId) || (Number.isNaN(Number(id) - Number(earlierId)) && id !== earlierId)
+}
--- a/src/gateway/EventSplitter/index.ts
+++ b/src/gateway/EventSplitter/index.ts
@@ -4,6 +4,8 @@
 interface CompleteEvents {
   /** Bytes of all events that are complete, undefined if there are none. */
   bytes: Buffer | undefined
+  /** Id of the first event of the stream that has one. */
+  firstEventId: string | undefined
   /** Id of the last complete event that has one. */
   lastEventId: string | undefined
   /** Whether the last complete event has an id: without one, a stream can't be resumed without repeating the event. */
@@ -26,6 +28,7 @@
  */
 export class EventSplitter {
   #pending: Buffer | undefined
+  #firstEventId: string | undefined
   #lastEventId: string | undefined
   #isLastIdentified = false
 
@@ -46,13 +49,14 @@
     this.#pending = completeLength === bytes.length ? undefined : bytes.subarray(completeLength)
     const complete = bytes.subarray(0, completeLength)
     const text = complete.toString('latin1')
+    this.#firstEventId ??= findFirstId(text)
     this.#lastEventId = findLastId(text) ?? this.#lastEventId
     this.#isLastIdentified = findLastEvent(text)?.some(line => line.startsWith('id:')) ?? this.#isLastIdentified
     return this.#createResult(complete)
   }
 
   #createResult (bytes: Buffer | undefined): CompleteEvents {
-    return { bytes, lastEventId: this.#lastEventId, isLastIdentified: this.#isLastIdentified }
+    return { bytes, firstEventId: this.#firstEventId, lastEventId: this.#lastEventId, isLastIdentified: this.#isLastIdentified }
   }
 }
 
@@ -61,6 +65,10 @@
   return text.split('\n\n').map(block => block.split('\n')).findLast(lines => lines.some(line => line.startsWith('data')))
 }
 
+function findFirstId (text: string): string | undefined {
+  return /^id:(.*)$/m.exec(text)?.[1].trim()
+}
+
 function findLastId (text: string): string | undefined {
   const start = text.startsWith('id:') && text.lastIndexOf('\nid:') === -1 ? 0 : text.lastIndexOf('\nid:') + 1
   if (!text.startsWith('id:', start)) return undefined
--- a/src/gateway/EventSplitter/test.ts
+++ b/src/gateway/EventSplitter/test.ts
@@ -22,6 +22,14 @@
     expect(add(splitter, 'data: y\n\n')).toEqual(['data: y\n\n', '9'])
   })
 
+  it('keeps the id of the first event', () => {
+    const splitter = new EventSplitter()
+    const getFirstId = (text: string): string | undefined => splitter.add(Buffer.from(text)).firstEventId
+    expect(getFirstId('data: x\n\n')).toBeUndefined()
+    expect(getFirstId('id: 4\ndata: x\n\nid: 5\ndata: y\n\n')).toBe('4')
+    expect(getFirstId('id: 6\ndata: x\n\n')).toBe('4')
+  })
+
   // Guards against a resumed stream that repeats events which have no id.
   it('tells whether the last event has an id, whatever comments follow it', () => {
     const splitter = new EventSplitter()
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -124,6 +124,8 @@
     ['refuses the request', EVENTS, (socket, { callId }) => socket.write(head(callId, '503 Busy', 'not-run: 1', 'content-length: 0')), 2],
     ['answers with another type', EVENTS, answerStream('{"error":1}\n\n', 'application/json'), 2],
     ['answers with another type and no body', EVENTS, answerStream('', 'application/json'), 2],
+    ['repeats the last event', EVENTS, answerStream(event(2, 'b') + event(3, 'c')), 2],
+    ['begins anew', EVENTS, answerStream(EVENTS + event(3, 'c')), 2],
     ['would begin anew, because the events have no ids', event(undefined, 'a'), answerStream(event(undefined, 'a') + event(undefined, 'b')), 1],
     ['would repeat an event that has no id', event(1, 'a') + event(undefined, 'b'), answerStream(event(undefined, 'b') + event(2, 'c')), 1]
   ])('is not completed by a target that %s', async (_title, events, second, attempts) => {
