Reset the connection of a stream without a length that breaks off

Callers took a stream for complete that had broken off: a response without a length or chunks ends with its connection, and the router ended a stream that it couldn't complete by closing the connection, whether its target had been reset, had stopped inside an event or was cut off at the time-out of its route.

abortResponse resets the connection of such a response.

Their body is still not given a length, because a target that was killed may close its connection in order too.

--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -10,6 +10,7 @@
 import { chooseService } from '../../routing/chooseService'
 import { planAttempts } from '../../routing/planAttempts'
 import type { RouteTable } from '../../routing/RouteTable'
+import { abortResponse } from '../abortResponse'
 import { ResponseWriter } from '../ResponseWriter'
 import { CallAttempt } from '../CallAttempt'
 import { CallRecord } from '../CallRecord'
@@ -208,7 +209,7 @@
       case 'fail':
         throw new AppError(conclusion.reason === 'expired' ? 'target-timeout' : 'target-failed', 'No valid and complete response was received from the target.')
       case 'break':
-        this.#response.destroy()
+        abortResponse(this.#response)
         return this.#record.close({ outcome: 'unknown', status: this.#response.statusCode, kind: 'answer-truncated', reason: 'The response was cut off after a part of it had been sent.' })
     }
   }
--- a/src/gateway/sendCallError/index.ts
+++ b/src/gateway/sendCallError/index.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { AppError } from '../../contract/AppError'
+import { abortResponse } from '../abortResponse'
 
 /**
  * @name sendCallError
@@ -7,8 +8,8 @@
  * @summary Sends the error response to a request.
  *
  * @description
- * `Retry-After` is in seconds and may have a fraction. If part of a response has already been sent, the connection is
- * destroyed instead, which shows the caller that the response is incomplete.
+ * `Retry-After` is in seconds and may have a fraction. If part of a response has already been sent, the response is
+ * aborted instead, which shows the caller that it is incomplete.
  *
  * @param response - The response to the caller.
  * @param error - The error to report.
@@ -18,7 +19,7 @@
  */
 export function sendCallError (response: ServerResponse, error: AppError): void {
   if (response.headersSent) {
-    response.destroy()
+    abortResponse(response)
     return
   }
   const body = Buffer.from(JSON.stringify({ error: { kind: error.kind, message: error.message, outcome: error.outcome } }))
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -37,7 +37,7 @@
 }
 
 /** Each test uses a service of its own, because a router avoids targets that have failed. */
-const SERVICES = 40
+const SERVICES = 60
 const TARGETS_PER_SERVICE = 2
 let fleet: GatewayFleet
 let nextService = 0
@@ -138,3 +138,50 @@
     expect((await send(`${url}/resume/`)).body).toBe(chunk(EVENTS) + (events && chunk(events)) + chunk(''))
   })
 })
+
+describe('an answer without a length', () => {
+  const event = 'id: 1\ndata: a\n\n'
+  const begin = (bytes: string, end: (socket: Socket) => void): Respond => (socket, { callId }) => {
+    socket.write(head(callId, '200 OK', 'content-type: text/event-stream') + bytes)
+    setTimeout(() => end(socket), READ_MS)
+  }
+  const close = (socket: Socket): void => { socket.end() }
+
+  // Guards against an answer that was broken off and that a caller takes for complete, and the reverse.
+  it.each<[string, string, string, (socket: Socket) => void, object]>([
+    ['read', 'a close', 'whole', close, { status: 200, body: 'whole', end: 'closed' }],
+    ['read', 'a close without a body', '', close, { status: 200, body: '', end: 'closed' }],
+    ['read', 'a reset', 'who', socket => socket.resetAndDestroy(), { status: 502 }],
+    ['stream', 'a close', event, close, { status: 200, body: event, end: 'closed' }],
+    ['stream', 'a close inside an event', event + 'id: 2\nda', close, { status: 200, body: event, end: 'reset' }],
+    ['stream', 'a reset', event, socket => socket.resetAndDestroy(), { status: 200, body: event, end: 'reset' }],
+    ['resume', 'a reset', event, socket => socket.resetAndDestroy(), { status: 200, body: event, end: 'reset' }]
+  ])('is forwarded without one and keeps its end: %s, %s', async (kind, _title, bytes, end, expected) => {
+    const answer = await send(`${script(begin(bytes, end)).url}/${kind}/`)
+    expect(answer).toMatchObject(expected)
+    if (answer.status === 200) expect(answer.raw).not.toMatch(/content-length|transfer-encoding|keep-alive/i)
+  })
+
+  // Guards against the same at the time-out of the route.
+  it('ends with a reset at the time-out of its route', async () => {
+    expect(await send(`${script(begin(event, () => {})).url}/stream/`)).toMatchObject({ status: 200, body: event, end: 'reset' })
+  })
+})
+
+describe('an answer that breaks off', () => {
+  // Guards against a truncated answer that a caller gets framed as whole.
+  it.each<[string, string]>([
+    ['inside its head', 'HTTP/1.1 200 OK\r\ncall-id: call-1\r\nsignature: s\r\ncontent-le'],
+    ['at the end of a line of its head', 'HTTP/1.1 200 OK\r\ncall-id: call-1\r\nsignature: s\r\n'],
+    ['after a head with a length', head('call-1', '200 OK', 'content-length: 5')],
+    ['inside a body with a length', head('call-1', '200 OK', 'content-length: 5') + 'who'],
+    ['inside a chunk', head('call-1', '200 OK', 'transfer-encoding: chunked') + '5\r\nwho'],
+    ['before its last chunk', head('call-1', '200 OK', 'transfer-encoding: chunked') + chunk('whole')],
+    ['before the end of its last chunk', head('call-1', '200 OK', 'transfer-encoding: chunked') + chunk('whole') + '0\r\n']
+  ])('%s is not forwarded, whether its connection is closed or reset', async (_title, bytes) => {
+    for (const end of [(socket: Socket) => { socket.end() }, (socket: Socket) => socket.resetAndDestroy()]) {
+      const { url, countAttempts } = script(socket => { socket.write(bytes, () => setTimeout(() => end(socket), READ_MS)) })
+      expect([(await send(`${url}/book/`)).status, countAttempts()]).toEqual([502, 1])
+    }
+  })
+})
