Limit the size of an event that a router keeps

A router kept the bytes of an event that doesn't end until the time-out of its route, however many came: only whole events are forwarded, and EventSplitter had no limit. One faulty target could exhaust the memory of every router.

An attempt whose incomplete event exceeds MAX_EVENT_BYTES (1 MiB) is lost.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -26,6 +26,8 @@
 }
 
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+/** Bounds the memory of a stream, of which only the incomplete event is kept. */
+const MAX_EVENT_BYTES = 1024 * 1024
 /** HTTP 421 (Misdirected Request): the target has changed, and the request was not run. */
 const TARGET_CHANGED_STATUS = 421
 
@@ -115,6 +117,7 @@
 
   #pipeEvents (chunk: Buffer): void {
     const { bytes, firstEventId, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
+    if (this.#splitter.pendingBytes > MAX_EVENT_BYTES) return this.#refuseResponse()
     if (!bytes) return
     const { resumedEventId } = this.#options
     if (resumedEventId !== undefined && firstEventId !== undefined && !isLaterId(firstEventId, resumedEventId)) return this.#refuseResponse()
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -185,3 +185,48 @@
     }
   })
 })
+
+describe('an answer without end', () => {
+  /** Writes as fast as the router reads, until the connection ends. */
+  const flood = (begin: (callId: string) => string, unit: string, onWrite: (bytes: number) => void): Respond => (socket, { callId }) => {
+    socket.write(begin(callId))
+    const bytes = Buffer.from(unit.repeat(Math.ceil(FLOOD_WRITE_BYTES / unit.length)))
+    const write = (): void => {
+      if (socket.destroyed) return
+      onWrite(bytes.length)
+      socket.write(bytes, () => setImmediate(write))
+    }
+    write()
+  }
+  const FLOOD_WRITE_BYTES = 64 * 1024
+  const MAX_GROWTH_BYTES = 64 * 1024 * 1024
+
+  // Guards against a router that runs out of memory, or works on bytes that are no answer until the time-out of the route.
+  it.each<[string, string, (callId: string) => string, string]>([
+    ['a head', 'book', () => 'HTTP/1.1 200 OK\r\nx-a: ', 'a'],
+    ['headers', 'book', () => 'HTTP/1.1 200 OK\r\n', 'x-a: aaaa\r\n'],
+    ['trailers', 'book', callId => head(callId, '200 OK', 'transfer-encoding: chunked') + '0\r\n', 'x-a: aaaa\r\n'],
+    ['a body', 'book', callId => head(callId), 'a'],
+    ['an event', 'stream', callId => head(callId, '200 OK', 'content-type: text/event-stream'), 'a'],
+    ['the body of a refusal', 'book', callId => head(callId, '503 Busy', 'not-run: 1'), 'a']
+  ])('ends as lost within a limit: %s', async (_title, kind, begin, unit) => {
+    let written = 0
+    const { url, countAttempts } = script(flood(begin, unit, bytes => { written += bytes }))
+    expect([(await send(`${url}/${kind}/`)).status, countAttempts()]).toEqual([502, 1])
+    expect(written).toBeLessThan(64 * 1024 * 1024)
+  })
+
+  // Guards against a router that runs out of memory. undici keeps nothing of these bytes, but doesn't bound them either.
+  it.each<[string, (callId: string) => string]>([
+    ['a reason phrase', () => 'HTTP/1.1 200 '],
+    ['a chunk extension', callId => head(callId, '200 OK', 'transfer-encoding: chunked') + '1;']
+  ])('ends at the time-out of the route and takes a bounded amount of memory: %s', async (_title, begin) => {
+    let written = 0
+    const rssBefore = process.memoryUsage().rss
+    const { url, countAttempts } = script(flood(begin, 'a', bytes => { written += bytes }))
+    expect([(await send(`${url}/book/`)).status, countAttempts()]).toEqual([504, 1])
+    const grown = process.memoryUsage().rss - rssBefore
+    expect(written).toBeGreaterThan(MAX_GROWTH_BYTES)
+    expect(grown).toBeLessThan(MAX_GROWTH_BYTES)
+  })
+})
