Limit the number of interim responses to a request

A target that sends responses with status 1xx without end kept the router reading, at the speed of its processor, until the time-out of the route.

TargetExchange fails after MAX_INTERIM_RESPONSES (100), and the attempt is lost. A few interim responses before an answer are still ignored, which has a test of its own.

The new case failed before: test/targetAnswers.test.ts › an answer without end ends as lost within a limit: interim responses: expected [502, 1], received [504, 1] after 3 s Now it ends after 30 ms.

--- a/src/gateway/TargetExchange/index.ts
+++ b/src/gateway/TargetExchange/index.ts
@@ -9,6 +9,9 @@
   onError: (error: Error, isSent: boolean) => void
 }
 
+/** Interim responses (status 1xx) are ignored; more of them than this are no response. */
+const MAX_INTERIM_RESPONSES = 100
+
 /**
  * @name TargetExchange
  * @category Gateway
@@ -29,6 +32,7 @@
   #controller: Dispatcher.DispatchController | undefined
   #isSent = false
   #isEnded = false
+  #interimResponses = 0
 
   constructor (events: ExchangeEvents) {
     this.#events = events
@@ -46,7 +50,9 @@
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-    if (status >= 200 && !this.#isEnded) this.#events.onHead(status, headers)
+    if (this.#isEnded) return
+    if (status >= 200) return this.#events.onHead(status, headers)
+    if (++this.#interimResponses > MAX_INTERIM_RESPONSES) this.#controller?.abort(new Error('The target sends interim responses without end.'))
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -168,6 +168,13 @@
   })
 })
 
+describe('an answer after interim responses', () => {
+  it('is forwarded without them', async () => {
+    const { url } = script((socket, { callId }) => socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(3) + head(callId, '200 OK', 'content-length: 2') + 'ok'))
+    expect(await send(`${url}/book/`)).toMatchObject({ status: 200, body: 'ok' })
+  })
+})
+
 describe('an answer that breaks off', () => {
   // Guards against a truncated answer that a caller gets framed as whole.
   it.each<[string, string]>([
@@ -205,6 +212,7 @@
   it.each<[string, string, (callId: string) => string, string]>([
     ['a head', 'book', () => 'HTTP/1.1 200 OK\r\nx-a: ', 'a'],
     ['headers', 'book', () => 'HTTP/1.1 200 OK\r\n', 'x-a: aaaa\r\n'],
+    ['interim responses', 'book', () => '', 'HTTP/1.1 102 Processing\r\n\r\n'],
     ['trailers', 'book', callId => head(callId, '200 OK', 'transfer-encoding: chunked') + '0\r\n', 'x-a: aaaa\r\n'],
     ['a body', 'book', callId => head(callId), 'a'],
     ['an event', 'stream', callId => head(callId, '200 OK', 'content-type: text/event-stream'), 'a'],
