Pass on no status that means "not run" unless the target states it

Callers take 408, 421, 429 and 503 as a promise that the request has not run. The router passed such a status on from any response with the id of the call, also without the target's statement that it didn't run the request, which is the only one that holds. A caller that repeats a booking after it may run it twice.

Such a response is refused: the attempt is lost, and its outcome unknown. Status 421 with the id of the call still counts as a statement.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -30,6 +30,8 @@
 const MAX_EVENT_BYTES = 1024 * 1024
 /** HTTP 421 (Misdirected Request): the target has changed, and the request was not run. */
 const TARGET_CHANGED_STATUS = 421
+/** Statuses that tell a caller that the request has not run. */
+const NOT_RUN_STATUSES = new Set([408, TARGET_CHANGED_STATUS, 429, 503])
 
 /**
  * @name CallAttempt
@@ -102,6 +104,7 @@
     if (isSuccess && (!parsedHeaders.isSigned || headers['content-encoding'] !== undefined)) return this.#refuseResponse()
     if (isSuccess && !writer.isContinuation({ headers })) return this.#refuseResponse()
     if (parsedHeaders.isNotRun || status === TARGET_CHANGED_STATUS) this.#notRunResult = { retryAfterS: parsedHeaders.retryAfterS }
+    else if (NOT_RUN_STATUSES.has(status)) return this.#refuseResponse()
     this.#head = { status, headers }
     this.#isForwardedStream = isSuccess && isStream
     if (!this.#notRunResult && !isSuccess) this.#options.onProgress()
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -98,6 +98,12 @@
     }
   })
 
+  // Guards against a status that callers take as "not run", from a target that doesn't state it.
+  it.each(['408 Request Timeout', '429 Too Many Requests', '503 Busy'])('are not passed on without the statement that the request has not run: %s', async status => {
+    const { url, countAttempts } = script((socket, { callId }) => socket.write(head(callId, status, 'content-length: 0')))
+    expect([(await send(`${url}/book/`)).status, countAttempts()]).toEqual([502, 1])
+  })
+
   it('are believed with the call id of the request, which is then sent to another target', async () => {
     const refuse: Respond = (socket, { callId }) => socket.write(head(callId, '503 Busy', 'not-run: 1', 'content-length: 0'))
     const accepted = script(refuse, (socket, { callId }) => socket.write(head(callId, '200 OK', 'content-length: 2') + 'ok'))
