--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -26,8 +26,12 @@
 }
 
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+/** Bounds the memory of a stream, of which only the incomplete event is kept. */
+const MAX_EVENT_BYTES = 1024 * 1024
 /** HTTP 421 (Misdirected Request): the target has changed, and the request was not run. */
 const TARGET_CHANGED_STATUS = 421
+/** Statuses that tell a caller that the request has not run. */
+const NOT_RUN_STATUSES = new Set([408, TARGET_CHANGED_STATUS, 429, 503])
 
 /**
  * @name CallAttempt
@@ -100,6 +104,7 @@
     if (isSuccess && (!parsedHeaders.isSigned || headers['content-encoding'] !== undefined)) return this.#refuseResponse()
     if (isSuccess && !writer.isContinuation({ headers })) return this.#refuseResponse()
     if (parsedHeaders.isNotRun || status === TARGET_CHANGED_STATUS) this.#notRunResult = { retryAfterS: parsedHeaders.retryAfterS }
+    else if (NOT_RUN_STATUSES.has(status)) return this.#refuseResponse()
     this.#head = { status, headers }
     this.#isForwardedStream = isSuccess && isStream
     if (!this.#notRunResult && !isSuccess) this.#options.onProgress()
@@ -114,8 +119,11 @@
   }
 
   #pipeEvents (chunk: Buffer): void {
-    const { bytes, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
+    const { bytes, firstEventId, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
+    if (this.#splitter.pendingBytes > MAX_EVENT_BYTES) return this.#refuseResponse()
     if (!bytes) return
+    const { resumedEventId } = this.#options
+    if (resumedEventId !== undefined && firstEventId !== undefined && !isLaterId(firstEventId, resumedEventId)) return this.#refuseResponse()
     this.#lastEventId = isLastIdentified ? lastEventId : undefined
     if (!this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
   }
@@ -148,3 +156,8 @@
     return { type: 'lost', target: this.#options.target, isStarted: this.#options.writer.isStarted, lastEventId: this.#lastEventId }
   }
 }
+
+/** Whether an event follows another one. Ids that are no numbers have no order, but differ. */
+function isLaterId (id: string, earlierId: string): boolean {
+  return Number(id) > Number(earlierId) || (Number.isNaN(Number(id) - Number(earlierId)) && id !== earlierId)
+}
--- a/test/targetAnswers.test.ts
+++ b/test/targetAnswers.test.ts
@@ -37,7 +37,7 @@
 }
 
 /** Each test uses a service of its own, because a router avoids targets that have failed. */
-const SERVICES = 40
+const SERVICES = 60
 const TARGETS_PER_SERVICE = 2
 let fleet: GatewayFleet
 let nextService = 0
@@ -98,6 +98,12 @@
     }
   })
 
+  // Guards against a status that callers take as "not run", from a target that doesn't state it.
+  it.each(['408 Request Timeout', '429 Too Many Requests', '503 Busy'])('are not passed on without the statement that the request has not run: %s', async status => {
+    const { url, countAttempts } = script((socket, { callId }) => socket.write(head(callId, status, 'content-length: 0')))
+    expect([(await send(`${url}/book/`)).status, countAttempts()]).toEqual([502, 1])
+  })
+
   it('are believed with the call id of the request, which is then sent to another target', async () => {
     const refuse: Respond = (socket, { callId }) => socket.write(head(callId, '503 Busy', 'not-run: 1', 'content-length: 0'))
     const accepted = script(refuse, (socket, { callId }) => socket.write(head(callId, '200 OK', 'content-length: 2') + 'ok'))
@@ -124,6 +130,8 @@
     ['refuses the request', EVENTS, (socket, { callId }) => socket.write(head(callId, '503 Busy', 'not-run: 1', 'content-length: 0')), 2],
     ['answers with another type', EVENTS, answerStream('{"error":1}\n\n', 'application/json'), 2],
     ['answers with another type and no body', EVENTS, answerStream('', 'application/json'), 2],
+    ['repeats the last event', EVENTS, answerStream(event(2, 'b') + event(3, 'c')), 2],
+    ['begins anew', EVENTS, answerStream(EVENTS + event(3, 'c')), 2],
     ['would begin anew, because the events have no ids', event(undefined, 'a'), answerStream(event(undefined, 'a') + event(undefined, 'b')), 1],
     ['would repeat an event that has no id', event(1, 'a') + event(undefined, 'b'), answerStream(event(undefined, 'b') + event(2, 'c')), 1]
   ])('is not completed by a target that %s', async (_title, events, second, attempts) => {
@@ -136,3 +144,103 @@
     expect((await send(`${url}/resume/`)).body).toBe(chunk(EVENTS) + (events && chunk(events)) + chunk(''))
   })
 })
+
+describe('an answer without a length', () => {
+  const event = 'id: 1\ndata: a\n\n'
+  const begin = (bytes: string, end: (socket: Socket) => void): Respond => (socket, { callId }) => {
+    socket.write(head(callId, '200 OK', 'content-type: text/event-stream') + bytes)
+    setTimeout(() => end(socket), READ_MS)
+  }
+  const close = (socket: Socket): void => { socket.end() }
+
+  // Guards against an answer that was broken off and that a caller takes for complete, and the reverse.
+  it.each<[string, string, string, (socket: Socket) => void, object]>([
+    ['read', 'a close', 'whole', close, { status: 200, body: 'whole', end: 'closed' }],
+    ['read', 'a close without a body', '', close, { status: 200, body: '', end: 'closed' }],
+    ['read', 'a reset', 'who', socket => socket.resetAndDestroy(), { status: 502 }],
+    ['stream', 'a close', event, close, { status: 200, body: event, end: 'closed' }],
+    ['stream', 'a close inside an event', event + 'id: 2\nda', close, { status: 200, body: event, end: 'reset' }],
+    ['stream', 'a reset', event, socket => socket.resetAndDestroy(), { status: 200, body: event, end: 'reset' }],
+    ['resume', 'a reset', event, socket => socket.resetAndDestroy(), { status: 200, body: event, end: 'reset' }]
+  ])('is forwarded without one and keeps its end: %s, %s', async (kind, _title, bytes, end, expected) => {
+    const answer = await send(`${script(begin(bytes, end)).url}/${kind}/`)
+    expect(answer).toMatchObject(expected)
+    if (answer.status === 200) expect(answer.raw).not.toMatch(/content-length|transfer-encoding|keep-alive/i)
+  })
+
+  // Guards against the same at the time-out of the route.
+  it('ends with a reset at the time-out of its route', async () => {
+    expect(await send(`${script(begin(event, () => {})).url}/stream/`)).toMatchObject({ status: 200, body: event, end: 'reset' })
+  })
+})
+
+describe('an answer after interim responses', () => {
+  it('is forwarded without them', async () => {
+    const { url } = script((socket, { callId }) => socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(3) + head(callId, '200 OK', 'content-length: 2') + 'ok'))
+    expect(await send(`${url}/book/`)).toMatchObject({ status: 200, body: 'ok' })
+  })
+})
+
+describe('an answer that breaks off', () => {
+  // Guards against a truncated answer that a caller gets framed as whole.
+  it.each<[string, string]>([
+    ['inside its head', 'HTTP/1.1 200 OK\r\ncall-id: call-1\r\nsignature: s\r\ncontent-le'],
+    ['at the end of a line of its head', 'HTTP/1.1 200 OK\r\ncall-id: call-1\r\nsignature: s\r\n'],
+    ['after a head with a length', head('call-1', '200 OK', 'content-length: 5')],
+    ['inside a body with a length', head('call-1', '200 OK', 'content-length: 5') + 'who'],
+    ['inside a chunk', head('call-1', '200 OK', 'transfer-encoding: chunked') + '5\r\nwho'],
+    ['before its last chunk', head('call-1', '200 OK', 'transfer-encoding: chunked') + chunk('whole')],
+    ['before the end of its last chunk', head('call-1', '200 OK', 'transfer-encoding: chunked') + chunk('whole') + '0\r\n']
+  ])('%s is not forwarded, whether its connection is closed or reset', async (_title, bytes) => {
+    for (const end of [(socket: Socket) => { socket.end() }, (socket: Socket) => socket.resetAndDestroy()]) {
+      const { url, countAttempts } = script(socket => { socket.write(bytes, () => setTimeout(() => end(socket), READ_MS)) })
+      expect([(await send(`${url}/book/`)).status, countAttempts()]).toEqual([502, 1])
+    }
+  })
+})
+
+describe('an answer without end', () => {
+  /** Writes as fast as the router reads, until the connection ends. */
+  const flood = (begin: (callId: string) => string, unit: string, onWrite: (bytes: number) => void): Respond => (socket, { callId }) => {
+    socket.write(begin(callId))
+    const bytes = Buffer.from(unit.repeat(Math.ceil(FLOOD_WRITE_BYTES / unit.length)))
+    const write = (): void => {
+      if (socket.destroyed) return
+      onWrite(bytes.length)
+      socket.write(bytes, () => setImmediate(write))
+    }
+    write()
+  }
+  const FLOOD_WRITE_BYTES = 64 * 1024
+  const MAX_GROWTH_BYTES = 64 * 1024 * 1024
+
+  // Guards against a router that runs out of memory, or works on bytes that are no answer until the time-out of the route.
+  it.each<[string, string, (callId: string) => string, string]>([
+    ['a head', 'book', () => 'HTTP/1.1 200 OK\r\nx-a: ', 'a'],
+    ['headers', 'book', () => 'HTTP/1.1 200 OK\r\n', 'x-a: aaaa\r\n'],
+    ['interim responses', 'book', () => '', 'HTTP/1.1 102 Processing\r\n\r\n'],
+    ['trailers', 'book', callId => head(callId, '200 OK', 'transfer-encoding: chunked') + '0\r\n', 'x-a: aaaa\r\n'],
+    ['a body', 'book', callId => head(callId), 'a'],
+    ['an event', 'stream', callId => head(callId, '200 OK', 'content-type: text/event-stream'), 'a'],
+    ['the body of a refusal', 'book', callId => head(callId, '503 Busy', 'not-run: 1'), 'a']
+  ])('ends as lost within a limit: %s', async (_title, kind, begin, unit) => {
+    let written = 0
+    const { url, countAttempts } = script(flood(begin, unit, bytes => { written += bytes }))
+    expect([(await send(`${url}/${kind}/`)).status, countAttempts()]).toEqual([502, 1])
+    expect(written).toBeLessThan(64 * 1024 * 1024)
+  })
+
+  // Guards against a router that runs out of memory. undici keeps nothing of these bytes, but doesn't bound them either.
+  it.each<[string, (callId: string) => string]>([
+    ['a reason phrase', () => 'HTTP/1.1 200 '],
+    ['a chunk extension', callId => head(callId, '200 OK', 'transfer-encoding: chunked') + '1;']
+  ])('ends at the time-out of the route and takes a bounded amount of memory: %s', async (_title, begin) => {
+    let written = 0
+    const rssBefore = process.memoryUsage().rss
+    const { url, countAttempts } = script(flood(begin, 'a', bytes => { written += bytes }))
+    expect([(await send(`${url}/book/`)).status, countAttempts()]).toEqual([504, 1])
+    const grown = process.memoryUsage().rss - rssBefore
+    expect(written).toBeGreaterThan(MAX_GROWTH_BYTES)
+    expect(grown).toBeLessThan(MAX_GROWTH_BYTES)
+  })
+})
