Refuse calls that arrive late in a stop, so that they are not cut

Callers on kept connections sent calls up to and after the end of the lame-duck period of 3 s; a stopping router took them, and cut those that did not end by its limit. On a busy process the timer of that period is late besides.

From 2.5 s after the start of the stop a router refuses new calls at once, 503 shutting-down with Retry-After 0.5 and connection: close, by the clock and not by a timer. That holds also for a call whose body is complete only then. Until then it serves as before, because the load balancer needs about 2 s to notice. The listener is open until 3 s, as before.

--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -95,8 +95,9 @@
   }
 
   async #admit (): Promise<AdmittedCall> {
-    const { getTable, retryBudget, getShedRetryAfterS } = this.#context
+    const { getTable, retryBudget, getShedRetryAfterS, isRefusing } = this.#context
     const metadata = this.#metadata
+    if (isRefusing()) throw createShutdownError()
     const table = getTable()
     if (!table) throw new AppError('control-unavailable', 'This router has not received a route document yet.', { retryAfterS: RETRY_AFTER_S })
     const shedRetryAfterS = getShedRetryAfterS()
@@ -106,7 +107,7 @@
     const account = metadata.apiKey === undefined ? undefined : table.findAccount(metadata.apiKey)
     if (account === undefined && !route.isOpen && table.document.accounts.length > 0) throw new AppError('unauthenticated', 'The API key is missing or unknown.')
     const body = await Promise.race([readBody(this.#request, { maxBytes: table.document.limits.maxBodyBytes }), this.#interruption])
-    if (!body) throw createShutdownError()
+    if (!body || isRefusing()) throw createShutdownError()
     const service = chooseService(route.split, Math.random())
     retryBudget.recordRequest(service, this.#record.arrivedAtMs)
     this.#record.setAdmission({ route: route.name, account, service, version: table.document.version })
--- a/src/gateway/GatewayContext/index.ts
+++ b/src/gateway/GatewayContext/index.ts
@@ -35,6 +35,8 @@
    * time; undefined if calls are accepted.
    */
   getShedRetryAfterS: () => number | undefined
+  /** Whether the router stops and must refuse new calls. */
+  isRefusing: () => boolean
   connections: TargetConnections
   retryBudget: FleetRetryBudget
   logger: ComponentLogger
--- a/src/instance/_lib/GracefulShutdown/index.ts
+++ b/src/instance/_lib/GracefulShutdown/index.ts
@@ -5,6 +5,8 @@
 interface GracefulShutdownOptions {
   /** Time between the start of the shutdown, from which the readiness check fails, and the close of the listener. */
   lameDuckMs: number
+  /** Time between the start of the shutdown and the refusal of new calls; at most `lameDuckMs`, which is the default. */
+  refuseAfterMs?: number
   /** Time limit of the whole shutdown. */
   stopTimeoutMs: number
   /** Number of running calls with an idempotency key, including those whose callers disconnected. */
@@ -32,14 +34,20 @@
   readonly #options: GracefulShutdownOptions
   readonly #active = new Map<ServerResponse, IncomingMessage>()
   #server?: Server
-  #isShuttingDown = false
+  #startedAtMs = Infinity
 
   constructor (options: GracefulShutdownOptions) {
     this.#options = options
   }
 
   get isShuttingDown (): boolean {
-    return this.#isShuttingDown
+    return this.#startedAtMs < Infinity
+  }
+
+  /** Whether new calls must be refused, because too little of the time limit is left for them. */
+  get isRefusing (): boolean {
+    const { refuseAfterMs, lameDuckMs } = this.#options
+    return performance.now() - this.#startedAtMs >= (refuseAfterMs ?? lameDuckMs)
   }
 
   /** Tracks the requests of a server from now on. */
@@ -48,16 +56,16 @@
     server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
       this.#active.set(response, request)
       response.once('close', () => this.#active.delete(response))
-      if (this.#isShuttingDown) response.setHeader('connection', 'close')
+      if (this.isShuttingDown) response.setHeader('connection', 'close')
     })
   }
 
   async close (): Promise<void> {
     const { lameDuckMs, stopTimeoutMs, logger, interruptCalls } = this.#options
     const startedAtMs = performance.now()
+    this.#startedAtMs = startedAtMs
     const deadlineAtMs = startedAtMs + stopTimeoutMs
     logger.info('The drain of callers begins.', { running: this.#countRunning(), limitMs: stopTimeoutMs })
-    this.#isShuttingDown = true
     for (const response of this.#active.keys()) if (!response.headersSent) response.setHeader('connection', 'close')
     await wait(Math.min(lameDuckMs, stopTimeoutMs))
     this.#server?.close()
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -49,6 +49,11 @@
 const LIST_INTERVAL_MS = 1_000
 /** Time that the load balancer needs to notice a failing readiness check. */
 const LAME_DUCK_MS = 3_000
+/**
+ * Time between the start of a stop and the refusal of new calls. The load balancer has noticed the failing check by then
+ * in most cases, and the rest of the lame-duck period is a margin for requests that are on their way.
+ */
+const REFUSE_AFTER_MS = 2_500
 /** Part of the grace period that is left for the exit of the process. */
 const EXIT_MARGIN_MS = 500
 
@@ -90,6 +95,8 @@
   monitor.start()
   lifecycle.register('event loop monitor', () => monitor.close())
   const readCallId = ({ headers }: IncomingMessage): string => options.calls.readRequestHeaders(headers).id
+  const calls = new Set<GatewayCall>()
+  const shutdown = new GracefulShutdown({ lameDuckMs: LAME_DUCK_MS, refuseAfterMs: REFUSE_AFTER_MS, stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS, countKeyedCalls: () => 0, readCallId, logger, interruptCalls: () => calls.forEach(call => call.stop()) })
   const context: GatewayContext = {
     ...options,
     codec: options.calls,
@@ -98,12 +105,12 @@
     getTable: () => routeTable,
     findTarget: id => directory.find(id),
     getShedRetryAfterS: () => monitor.getShedRetryAfterS(),
+    isRefusing: () => shutdown.isRefusing,
     placements,
     selector,
     loads,
     connections
   }
-  const calls = new Set<GatewayCall>()
   const front = await startHttpServer(settings.front, [
     { method: 'all', path: '*', handler: (request, response) => runCall(new GatewayCall(request, response, context), calls) }
   ])
@@ -130,7 +137,6 @@
   const reader = createFallbackReader(registry, { source: options.source, onRead: handleTargets, logger })
   reader.start()
   lifecycle.register('list of targets', () => reader.close())
-  const shutdown = new GracefulShutdown({ lameDuckMs: LAME_DUCK_MS, stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS, countKeyedCalls: () => 0, readCallId, logger, interruptCalls: () => calls.forEach(call => call.stop()) })
   const readiness = new ReadinessCheck({
     obstacles: {
       'no-document': () => routeTable === undefined,
--- a/test/gatewayStop.test.ts
+++ b/test/gatewayStop.test.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net'
 import type { ServerResponse } from 'node:http'
+import { setTimeout as wait } from 'node:timers/promises'
 import { GatewayFleet } from './_lib/GatewayFleet'
 import { waitFor } from './_lib/waitFor'
 
@@ -9,11 +10,13 @@
   /** All bytes that the caller has received; complete when the connection has closed. */
   text: string
   isClosed: boolean
+  /** Sends more bytes of the request. */
+  write: (bytes: string) => void
 }
 
 /** Sends a request on a connection of its own. With an incomplete body the router waits for the rest. */
 function startCall (fleet: GatewayFleet, path: string, { isBodyComplete = true } = {}): RunningCall {
-  const call: RunningCall = { text: '', isClosed: false }
+  const call: RunningCall = { text: '', isClosed: false, write: bytes => socket.write(bytes) }
   const socket = connect(Number(new URL(fleet.url).port), '127.0.0.1', () => socket.write(`POST ${path} HTTP/1.1\r\nhost: a.example\r\ncall-id: call-${path}\r\ncontent-length: ${isBodyComplete ? 1 : 2}\r\n\r\nx`))
   socket.on('data', chunk => { call.text += chunk })
   socket.on('error', () => {})
@@ -48,4 +51,30 @@
       await fleet.close()
     }
   }, 30_000)
+
+  // Guards against a call that is taken at the end of the lame-duck period or later, and then cut at the limit.
+  it('refuses new calls as not run before the lame-duck period ends, and serves until then', async () => {
+    const fleet = await GatewayFleet.start()
+    try {
+      await fleet.startTarget('t1', (request, response) => response.writeHead(200, GatewayFleet.createResponseHeaders(request)).end('answer'))
+      await fleet.setDocument({ version: 1, routes: [createRoute('read')] })
+      await fleet.waitUntilReady()
+      const late = startCall(fleet, '/read/', { isBodyComplete: false })
+      const startedAtMs = performance.now()
+      const stopped = fleet.stopRouters()
+      const calls: Array<{ sentMs: number, call: RunningCall }> = []
+      while (performance.now() - startedAtMs < 2_900) {
+        calls.push({ sentMs: performance.now() - startedAtMs, call: startCall(fleet, '/read/') })
+        await wait(100)
+      }
+      late.write('x')
+      await waitFor('the connections to close', async () => [late, ...calls.map(({ call }) => call)].every(({ isClosed }) => isClosed))
+      await stopped
+      const refused = /^HTTP\/1.1 503 [^]*connection: close[^]*retry-after: 0.50[^]*"kind":"shutting-down"/i
+      for (const { call } of calls.filter(({ sentMs }) => sentMs < 2_000)) expect(call.text).toMatch(/^HTTP\/1.1 200 /)
+      for (const { text } of [late, ...calls.filter(({ sentMs }) => sentMs > 2_700).map(({ call }) => call)]) expect(text).toMatch(refused)
+    } finally {
+      await fleet.close()
+    }
+  }, 30_000)
 })
