Register a router's HTTP server before its listener opens

A process that got SIGTERM while it started could lose calls: the stop closed what was registered so far, the start went on and opened the listener, and the process exited under the calls that it took. Calls that arrived between the opening and GracefulShutdown.watch were not counted as running, so that a stop did not wait for them.

The listener for callers is now the last thing to open. Its graceful shutdown is registered before, and follows the server from its creation: startHttpServer has an option onCreate. startGateway opens no listener once the life-cycle manager is closing; a stop that begins during the opening gives it the usual lame-duck period. The readiness check fails until the listener is open. startRouter registers and watches in the same order, but has no check for a stop that has already begun.

Components that register during a stop are still not closed by the life-cycle manager (here the readiness server); that is a matter of its register.

Before: the test fails with "Received promise resolved instead of rejected": the listener answered after the stop had ended.

--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import type { HeaderCodec } from '../../contract/HeaderCodec'
 import type { DocumentCodec } from '../../contract/DocumentCodec'
 import type { GatewaySettings } from '../../contract/GatewaySettings'
@@ -65,7 +65,8 @@
  * @description
  * The router is ready once it has a route document and the list of targets. While the registry is unreachable it keeps
  * both, and reads the list from its source. While its event loop is overloaded, the router reports that it is not ready,
- * if the leader of the registry permits it: not all routers may leave the rotation at once.
+ * if the leader of the registry permits it: not all routers may leave the rotation at once. If the process begins to stop
+ * while the router starts, the router opens no listener for callers.
  *
  * @param settings - Checked settings of the process.
  * @param options - Codecs, source of the list, logger, metrics, tracer and lifecycle manager.
@@ -111,18 +112,18 @@
     loads,
     connections
   }
-  const front = await startHttpServer(settings.front, [
-    { method: 'all', path: '*', handler: (request, response) => runCall(new GatewayCall(request, response, context), calls) }
-  ])
-  front.server.requestTimeout = 0
-  monitor.closeShedConnections(front.server)
+  let frontServer: Server | undefined
+  const applyLimits = (): void => {
+    if (!frontServer || !routeTable) return
+    const { headerTimeoutMs, idleTimeoutMs } = routeTable.document.limits
+    frontServer.headersTimeout = headerTimeoutMs
+    frontServer.keepAliveTimeout = idleTimeoutMs
+  }
   const handleDocument = ({ version, content }: StoredDocument): void => {
     const startedAtMs = performance.now()
     routeTable = new RouteTable(options.documents.decodeStored(content))
     decodeMs = performance.now() - startedAtMs
-    const { headerTimeoutMs, idleTimeoutMs } = routeTable.document.limits
-    front.server.headersTimeout = headerTimeoutMs
-    front.server.keepAliveTimeout = idleTimeoutMs
+    applyLimits()
     logger.info('A route document is in force.', { version, routes: routeTable.document.routes.length, accounts: routeTable.document.accounts.length, bytes: content.length, decodeMs: Math.round(decodeMs) })
   }
   const handleTargets = (entries: readonly TargetEntry[]): void => {
@@ -141,6 +142,7 @@
     obstacles: {
       'no-document': () => routeTable === undefined,
       'no-targets': () => !directory.isKnown,
+      'not-listening': () => !frontServer?.listening,
       'shutting-down': () => shutdown.isShuttingDown,
       overloaded: () => monitor.isLeaving
     },
@@ -155,10 +157,23 @@
     getLongestIterationMs: () => monitor.longestIterationMs
   })
   await startReadinessServer(settings.ready, { isReady: () => readiness.isReady(), metrics, lifecycle })
-  shutdown.watch(front.server)
+  const running = { addSeeds: (hosts: readonly string[]) => registry.addReplicas(hosts) }
+  if (lifecycle.isClosing) return running
+  // Registered before the listener opens, so that a stop finds every connection that was accepted.
   lifecycle.register('HTTP server', () => shutdown.close())
+  const front = await startHttpServer(settings.front, [
+    { method: 'all', path: '*', handler: (request, response) => runCall(new GatewayCall(request, response, context), calls) }
+  ], {
+    onCreate: server => {
+      frontServer = server
+      server.requestTimeout = 0
+      applyLimits()
+      shutdown.watch(server)
+      monitor.closeShedConnections(server)
+    }
+  })
   logger.info('Started.', { port: front.address.port })
-  return { addSeeds: hosts => registry.addReplicas(hosts) }
+  return running
 }
 
 /** Runs a call, and keeps it in the set of running calls until it has ended. */
--- a/src/instance/startHttpServer/index.ts
+++ b/src/instance/startHttpServer/index.ts
@@ -13,6 +13,11 @@
   handler: HttpHandler
 }
 
+interface StartHttpServerOptions {
+  /** Called with the server before it accepts connections. */
+  onCreate?: (server: Server) => void
+}
+
 interface HttpServer {
   address: ListenAddress
   server: Server
@@ -32,13 +37,14 @@
  *
  * @param address - Where to listen.
  * @param routes - Handlers by method and path, in the pattern syntax of polka.
+ * @param options - `onCreate`: called with the server before it accepts connections.
  * @returns The bound address and the server.
  * @throws Error of node:net if the address can't be bound.
  *
  * @example
  * const { address } = await startHttpServer({ host: '127.0.0.1', port: 0 }, [{ method: 'get', path: '/healthz', handler }])
  */
-export async function startHttpServer (address: ListenAddress, routes: readonly HttpRoute[]): Promise<HttpServer> {
+export async function startHttpServer (address: ListenAddress, routes: readonly HttpRoute[], options: StartHttpServerOptions = {}): Promise<HttpServer> {
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS })
   const app = polka({
     server,
@@ -47,6 +53,7 @@
   })
   for (const route of routes) addRoute(app, route)
   server.on('clientError', (error, socket) => refuseMalformedRequest(error as NodeJS.ErrnoException, socket))
+  options.onCreate?.(server)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     app.listen(address.port, address.host, () => resolve())
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -82,14 +82,6 @@
   const handleCompletion = observeCalls(observer, (request, response, observation) => callHandler.handleCompletion(request, response, observation))
   const handleService = observeCalls(observer, (request, response, observation) => callHandler.handleService(request, response, observation))
   const shutdown = new GracefulShutdown({ ...settings, countKeyedCalls: () => keyedCalls.countRunning(), readCallId: ({ headers }) => String(headers.traceparent ?? ''), logger, interruptCalls: () => {} })
-  const { address: http, server } = await startHttpServer(settings.http, [
-    { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
-    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 && !shutdown.isShuttingDown ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
-    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
-    { method: 'post', path: '/v1/completions', handler: handleCompletion },
-    { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
-    { method: 'all', path: '/services/*', handler: handleService }
-  ])
   const reporter = new StatusReporter({
     view,
     gate,
@@ -101,8 +93,15 @@
   })
   reporter.start()
   lifecycle.register('status reports', () => reporter.stop())
-  shutdown.watch(server)
   lifecycle.register('HTTP server', () => shutdown.close())
+  const { address: http } = await startHttpServer(settings.http, [
+    { method: 'get', path: '/healthz', handler: (_request, response) => { response.end('ok\n') } },
+    { method: 'get', path: '/readyz', handler: (_request, response) => { response.writeHead(view.offset > 0 && !shutdown.isShuttingDown ? 200 : 503, { 'papayalead-settings-offset': view.offset }).end() } },
+    { method: 'get', path: '/metrics', handler: (_request, response) => sendMetrics(response, metrics) },
+    { method: 'post', path: '/v1/completions', handler: handleCompletion },
+    { method: 'post', path: '/v1/chat/completions', handler: handleCompletion },
+    { method: 'all', path: '/services/*', handler: handleService }
+  ], { onCreate: server => shutdown.watch(server) })
   logger.info('Started.', { port: http.port })
   return { http, link: linkAddress, close: () => lifecycle.close() }
 }
--- a/test/gatewayStop.test.ts
+++ b/test/gatewayStop.test.ts
@@ -1,7 +1,14 @@
 import { connect } from 'node:net'
 import type { ServerResponse } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
+import { GatewaySettings } from '../src/contract/GatewaySettings'
+import { startGateway } from '../src/instance/startGateway'
+import { LifecycleManager } from '../src/lifecycle/LifecycleManager'
+import { noopTracer } from '../src/telemetry/noopTracer'
+import { PrometheusMetrics } from '../src/telemetry/PrometheusMetrics'
 import { GatewayFleet } from './_lib/GatewayFleet'
+import { plainCodecs } from './_lib/plainCodecs'
+import { reservePorts } from './_lib/reservePorts'
 import { waitFor } from './_lib/waitFor'
 
 const createRoute = (name: string, overrides: object = {}) => ({ name, host: 'a.example', pathPrefix: `/${name}/`, kind: 'idempotent' as const, timeoutMs: 20_000, priority: 1, split: [{ service: 's', weight: 1 }], maxAttempts: 2, isOpen: true, isResumable: false, ...overrides })
@@ -77,4 +84,17 @@
       await fleet.close()
     }
   }, 30_000)
+
+  // Guards against a process that takes calls after its stop has begun, and exits under them.
+  it('opens no listener for callers when the stop begins while the router starts', async () => {
+    const { ports: [front, ready, link], release } = await reservePorts(3)
+    const lifecycle = new LifecycleManager()
+    const log = (): void => {}
+    const settings = GatewaySettings.parse({ instance: 'edge-1', zone: 'z1', front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, seeds: ['127.0.0.1:1'], linkPort: link, list: '127.0.0.1:1', clusterKey: 'key-of-the-test-cluster', graceS: 1 })
+    const started = startGateway(settings, { ...plainCodecs, source: { list: async () => [] }, logger: { error: log, warn: log, info: log, debug: log }, metrics: new PrometheusMetrics({ instance: 'edge-1', zone: 'z1' }), tracer: noopTracer, lifecycle })
+    await lifecycle.close()
+    await started
+    await expect(fetch(`http://127.0.0.1:${front}/`)).rejects.toThrow('fetch failed')
+    release()
+  })
 })
