Deliver a response in full to a slow reader during a stop

Cause: closeIdleConnections of Node.js 20, which Server.close calls too, takes a connection as idle as soon as its response has ended. All servers of startHttpServer now have one of their own. It closes only connections whose responses are all written and on which nothing has arrived since, so that it doesn't cut a request of which a part has been read either.

--- a/src/instance/_lib/GracefulShutdown/test.ts
+++ b/src/instance/_lib/GracefulShutdown/test.ts
@@ -1,7 +1,12 @@
 import { createServer } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { connect, type AddressInfo } from 'node:net'
+import { setTimeout as wait } from 'node:timers/promises'
 import { GracefulShutdown } from '.'
 import { waitFor } from '../../../../test/_lib/waitFor'
+import { startHttpServer } from '../../startHttpServer'
+
+/** More than the buffers of a connection hold. */
+const LARGE_BYTES = 32 * 1024 * 1024
 
 interface LogLine {
   message: string
@@ -25,4 +30,26 @@
     expect(lines[0]).toEqual({ message: 'The drain of callers begins.', fields: { running: 1, limitMs: 50 } })
     expect(lines[1]).toMatchObject({ message: 'The drain of callers has ended.', fields: { interrupted: 1, requestIds: ['call-1'] } })
   })
+
+  // Guards against a response that a stop truncates, because it has ended but waits in the buffer for a slow reader.
+  it('delivers a large response to a slow reader', async () => {
+    const log = (): void => {}
+    const shutdown = new GracefulShutdown({ lameDuckMs: 50, stopTimeoutMs: 20_000, countKeyedCalls: () => 0, readCallId: () => '', logger: { error: log, warn: log, info: log, debug: log }, interruptCalls: () => {} })
+    const { address } = await startHttpServer({ host: '127.0.0.1', port: 0 }, [{ method: 'get', path: '/', handler: (_request, response) => { response.end(Buffer.alloc(LARGE_BYTES)) } }], { onCreate: server => shutdown.watch(server) })
+    const socket = connect(address.port, '127.0.0.1', () => socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'))
+    let receivedBytes = 0
+    const isClosed = new Promise<void>(resolve => socket.once('close', () => resolve()))
+    socket.on('error', () => {})
+    await new Promise<void>(resolve => socket.once('data', chunk => {
+      receivedBytes += chunk.length
+      socket.pause()
+      resolve()
+    }))
+    const stopped = shutdown.close()
+    await wait(300)
+    socket.on('data', chunk => { receivedBytes += chunk.length })
+    socket.resume()
+    await Promise.all([isClosed, stopped])
+    expect(receivedBytes).toBeGreaterThan(LARGE_BYTES)
+  })
 })
--- a/src/instance/drainHttpServer/test.ts
+++ b/src/instance/drainHttpServer/test.ts
@@ -41,4 +41,13 @@
     await drainHttpServer(server, { timeoutMs: 50 })
     expect(await change).toBe('cut')
   })
+
+  // Guards against a stop that waits for kept connections on which no request runs.
+  it('closes idle connections at once', async () => {
+    const { server, url } = await startChangeServer(0)
+    expect(await fetch(url, { method: 'POST' }).then(response => response.text())).toBe('stored')
+    const startedAtMs = performance.now()
+    await drainHttpServer(server, { timeoutMs: 10_000 })
+    expect(performance.now() - startedAtMs).toBeLessThan(5_000)
+  })
 })
--- a/src/instance/startHttpServer/index.ts
+++ b/src/instance/startHttpServer/index.ts
@@ -4,6 +4,7 @@
 import { AppError } from '../../contract/AppError'
 import type { ListenAddress } from '../../contract/ListenAddress'
 import { sendError } from '../sendError'
+import { watchIdleConnections } from './_lib/watchIdleConnections'
 
 type HttpHandler = (request: polka.Request, response: ServerResponse) => Promise<void> | void
 
@@ -46,6 +47,7 @@
  */
 export async function startHttpServer (address: ListenAddress, routes: readonly HttpRoute[], options: StartHttpServerOptions = {}): Promise<HttpServer> {
   const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS })
+  watchIdleConnections(server)
   const app = polka({
     server,
     onNoMatch: (_request, response) => sendError(response, new AppError('not-found', 'No such path.')),
