--- a/src/instance/drainHttpServer/index.ts
+++ b/src/instance/drainHttpServer/index.ts
@@ -1,4 +1,4 @@
-import type { Server } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
 
 interface DrainHttpServerOptions {
   /** Time after which connections with requests that still run are closed. */
@@ -14,7 +14,7 @@
  * @summary Closes an HTTP server after the requests under way have their responses.
  *
  * @description
- * The server accepts no more connections and closes idle ones. For a server without a load balancer, whose clients try
+ * The server accepts no more connections, closes idle ones, and closes the others after their next response. For a server without a load balancer, whose clients try
  * another instance at once.
  *
  * @param server - The server.
@@ -26,6 +26,7 @@
  * lifecycle.register('HTTP server', () => drainHttpServer(server, { timeoutMs: 5_000 }))
  */
 export async function drainHttpServer (server: Server, { timeoutMs }: DrainHttpServerOptions): Promise<void> {
+  server.prependListener('request', (_request, response: ServerResponse) => response.setHeader('connection', 'close'))
   const idleTimer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS)
   const limitTimer = setTimeout(() => server.closeAllConnections(), timeoutMs)
   await new Promise<void>(resolve => server.close(() => resolve()))
