--- a/src/lifecycle/LifecycleManager/index.ts
+++ b/src/lifecycle/LifecycleManager/index.ts
@@ -14,8 +14,8 @@
  *
  * @description
  * Each component registers a close function when it is opened. `close` runs these functions one after another; if one
- * fails, its error is reported and the rest still run. A component that is registered meanwhile is closed next, because
- * a stop may begin while the process is still starting. A second `close` returns the promise of the first.
+ * fails, its error is reported and the rest still run. A component that is registered meanwhile is closed next, and
+ * one that is registered later at once, because a stop may begin while the process is still starting. A second `close` returns the promise of the first.
  *
  * @param observer - Notified of close functions that fail.
  *
@@ -29,6 +29,7 @@
   readonly #registrations: Registration[] = []
   readonly #observer?: LifecycleObserver
   #closing?: Promise<void>
+  #isClosed = false
 
   constructor (observer?: LifecycleObserver) {
     this.#observer = observer
@@ -36,6 +37,7 @@
 
   register (name: string, close: Registration['close']): void {
     this.#registrations.push({ name, close })
+    if (this.#isClosed) void this.#closeAll()
   }
 
   get isClosing (): boolean {
@@ -55,5 +57,6 @@
         this.#observer?.onError(next.name, error)
       }
     }
+    this.#isClosed = true
   }
 }
--- a/src/lifecycle/LifecycleManager/test.ts
+++ b/src/lifecycle/LifecycleManager/test.ts
@@ -27,4 +27,13 @@
     await closing
     expect(closed).toEqual(['second', 'late', 'first'])
   })
+
+  // Guards against the same when everything that was registered before has closed already.
+  it('closes a component at once that is registered after all others have closed', async () => {
+    const closed: string[] = []
+    const lifecycle = new LifecycleManager()
+    await lifecycle.close()
+    lifecycle.register('late', () => { closed.push('late') })
+    expect(closed).toEqual(['late'])
+  })
 })
