Handle signals of the product's own processes from the start on

Found in the review. Signals are now handled before the start, and errors of the standard streams are ignored.

--- a/src/command/ControlCommand/index.ts
+++ b/src/command/ControlCommand/index.ts
@@ -12,8 +12,11 @@
 
   async run (): Promise<void> {
     const { flags } = await this.parse(ControlCommand)
-    const control = await startControl(loadSettingsFile(flags.config, ControlSettings))
-    this.log(JSON.stringify({ http: control.http, link: control.link }))
-    await runUntilSignal(() => control.close())
+    const settings = loadSettingsFile(flags.config, ControlSettings)
+    await runUntilSignal(async () => {
+      const control = await startControl(settings)
+      this.log(JSON.stringify({ http: control.http, link: control.link }))
+      return control
+    })
   }
 }
--- a/src/command/RouterCommand/index.ts
+++ b/src/command/RouterCommand/index.ts
@@ -12,8 +12,11 @@
 
   async run (): Promise<void> {
     const { flags } = await this.parse(RouterCommand)
-    const router = await startRouter(loadSettingsFile(flags.config, RouterSettings))
-    this.log(JSON.stringify({ http: router.http, link: router.link }))
-    await runUntilSignal(() => router.close())
+    const settings = loadSettingsFile(flags.config, RouterSettings)
+    await runUntilSignal(async () => {
+      const router = await startRouter(settings)
+      this.log(JSON.stringify({ http: router.http, link: router.link }))
+      return router
+    })
   }
 }
--- a/src/command/StandInCommand/index.ts
+++ b/src/command/StandInCommand/index.ts
@@ -32,8 +32,10 @@
 
   async run (): Promise<void> {
     const { args, flags } = await this.parse(StandInCommand)
-    const running = await START_FUNCTIONS[args.kind]({ host: flags.host, port: flags.port }, JSON.parse(flags.options))
-    this.log(JSON.stringify({ http: running.address }))
-    await runUntilSignal(() => running.close())
+    await runUntilSignal(async () => {
+      const running = await START_FUNCTIONS[args.kind]({ host: flags.host, port: flags.port }, JSON.parse(flags.options))
+      this.log(JSON.stringify({ http: running.address }))
+      return running
+    })
   }
 }
--- a/src/command/runUntilSignal/index.ts
+++ b/src/command/runUntilSignal/index.ts
@@ -1,19 +1,30 @@
+interface RunningProcess {
+  close: () => Promise<void>
+}
+
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const
+
 /**
  * @name runUntilSignal
  * @category Command
- * @summary Waits for SIGTERM, SIGINT or SIGHUP, then closes the process gracefully.
+ * @summary Runs a process until SIGTERM, SIGINT or SIGHUP, then closes it gracefully.
  *
  * @description
- * Further signals are ignored, so that they can't interrupt running requests.
+ * Signals are handled from the beginning of the start on; one that arrives before its end stops the process once it has
+ * started. Further signals are ignored, so that they can't interrupt running requests, and so are errors of the standard
+ * streams: after the hang-up of a terminal, log lines can't be written any more.
  *
- * @param close - Function that stops the process gracefully.
+ * @param start - Starts the process.
  *
  * @example
- * await runUntilSignal(() => router.close())
+ * await runUntilSignal(() => startRouter(settings))
  */
-export async function runUntilSignal (close: () => Promise<void>): Promise<void> {
-  await new Promise<void>(resolve => {
-    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) process.on(signal, () => resolve())
+export async function runUntilSignal (start: () => Promise<RunningProcess>): Promise<void> {
+  for (const stream of [process.stdout, process.stderr]) stream.on('error', () => {})
+  const stopped = new Promise<void>(resolve => {
+    for (const signal of STOP_SIGNALS) process.on(signal, () => resolve())
   })
-  await close()
+  const running = await start()
+  await stopped
+  await running.close()
 }
