Measure blocks of sound parts from the first refusal to the last

Requests of a rare part come further apart than the second after which the simulation took a block to have ended.

--- a/src/routing/PromptQuarantine/_lib/CrashDayResult/index.ts
+++ b/src/routing/PromptQuarantine/_lib/CrashDayResult/index.ts
@@ -8,7 +8,7 @@
   begunBefore: number
   /** The same share from 6 s after the last crash of the first ten seconds on. */
   begunAfter: number
-  /** The longest time for which a sound part was refused without an interruption of a second. */
+  /** The longest time between the first and the last refusal because of a sound part while no request with it was sent. */
   longestBlockMs: number
   /** Share of the sound requests that were refused because of a part. */
   refusedShare: number
--- a/src/routing/PromptQuarantine/_lib/runCrashDay/index.ts
+++ b/src/routing/PromptQuarantine/_lib/runCrashDay/index.ts
@@ -2,7 +2,7 @@
 import { CrashDetector } from '../../../CrashDetector'
 import type { CrashDay } from '../CrashDay'
 import type { CrashDayResult } from '../CrashDayResult'
-import type { CrashPolicy } from '../CrashPolicy'
+import type { PromptQuarantine } from '../..'
 
 interface Attempt {
   id: string
@@ -34,7 +34,7 @@
 const service = 's'
 
 /** Runs the detector and a quarantine against simulated targets, and measures both rules that guard the fleet. */
-export function runCrashDay (day: CrashDay, policy: CrashPolicy): CrashDayResult {
+export function runCrashDay (day: CrashDay, quarantine: PromptQuarantine): CrashDayResult {
   const { random } = day
   const detector = new CrashDetector()
   const targets: Target[] = Array.from({ length: day.targets }, () => ({ isDown: false, avoidedUntilMs: 0, running: new Set() }))
@@ -42,7 +42,8 @@
   const badCrashesMs: number[] = []
   const badSentMs: number[] = []
   const sound: Array<{ atMs: number, isBegun: boolean, isRefused: boolean }> = []
-  const refusals = new Map<string, { firstMs: number, lastMs: number }>()
+  /** Time of the first refusal because of each part since a request with it was sent. */
+  const refusals = new Map<string, number>()
   let longestBlockMs = 0
   let nowMs = 0
   let nextId = 0
@@ -53,7 +54,7 @@
   const record = (attempt: Attempt, event: 'read' | 'ended' | 'lost' | 'unreachable'): void => {
     const crash = detector.record(attempt.id, event, nowMs)
     if (event === 'unreachable') targets[attempt.target].avoidedUntilMs = nowMs + 2_000
-    if (crash) policy.recordCrash(crash, nowMs)
+    if (crash) quarantine.recordCrash(crash, nowMs)
   }
   const stopAttempt = (attempt: Attempt, event: 'ended' | 'lost'): void => {
     if (attempt.isOver) return
@@ -80,22 +81,21 @@
     return targets[choice[0]]?.running.size <= targets[choice[1]]?.running.size ? choice[0] : choice[1]
   }
   const recordRefusal = (part: string): void => {
-    const last = refusals.get(part)
-    const refusal = last && nowMs - last.lastMs < 1_000 ? last : { firstMs: nowMs, lastMs: nowMs }
-    refusal.lastMs = nowMs
-    refusals.set(part, refusal)
-    if (part !== badPart || day.badPosition === undefined) longestBlockMs = Math.max(longestBlockMs, refusal.lastMs - refusal.firstMs)
+    const firstMs = refusals.get(part) ?? nowMs
+    refusals.set(part, firstMs)
+    if (part !== badPart || day.badPosition === undefined) longestBlockMs = Math.max(longestBlockMs, nowMs - firstMs)
   }
 
   const send = (parts: PromptPart[], options: { isBad: boolean, attempts: number, excluded?: number, onRead?: () => void, onRefused?: (retryMs: number) => void }): void => {
     const { isBad, attempts, excluded, onRead, onRefused } = options
-    for (const crash of detector.takeOverdueCrashes(nowMs)) policy.recordCrash(crash, nowMs)
-    for (const { parts, readMs } of detector.takeAnswered(nowMs)) policy.recordAnswer({ service, parts }, readMs)
-    const blocked = policy.findBlocked({ service, parts }, nowMs)
+    for (const crash of detector.takeOverdueCrashes(nowMs)) quarantine.recordCrash(crash, nowMs)
+    for (const { parts, readMs } of detector.takeAnswered(nowMs)) quarantine.recordAnswer({ service, parts }, readMs)
+    const blocked = quarantine.findBlocked({ service, parts }, nowMs)
     if (blocked) {
       recordRefusal(blocked.part)
       return onRefused?.(Math.max(1_000, blocked.blockedMs))
     }
+    for (const { id } of parts) refusals.delete(id)
     const index = chooseTarget(parts[1].id, excluded)
     if (index === undefined) return
     const attempt: Attempt = {
@@ -109,7 +109,7 @@
       handleRead: () => onRead?.()
     }
     detector.start(attempt.id, { service, parts, target: `t${index}` }, nowMs)
-    policy.recordPlacement({ service, parts }, nowMs)
+    quarantine.recordPlacement({ service, parts }, nowMs)
     if (isBad) badSentMs.push(nowMs)
     schedule(chooseBetween(2, 10), () => handleArrival(attempt, options))
   }
