Do not blame a probed part if another target crashes with the probe's

An innocent part whose probe was at a target that lost its power together with others was blocked for 60 s.

--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -26,6 +26,8 @@
   startedMs: number
   crashes: number
   targets: Set<string>
+  /** Part whose probe crashed the first target. */
+  probed?: Suspicion
 }
 
 type Prompt = { service: string, parts: readonly PromptPart[] }
@@ -94,6 +96,7 @@
     const { service, target, prompts, startedMs, crashedMs = nowMs } = crash
     this.#expire(nowMs)
     const event = this.#findEvent(service, target, crashedMs)
+    if (event.targets.size > 1) this.#withdrawProbeCrash(event, nowMs)
     const startedByPart = new Map<string, number>()
     for (const [index, parts] of prompts.entries()) {
       for (const part of listSharedParts(parts)) startedByPart.set(part, Math.max(startedByPart.get(part) ?? -Infinity, startedMs?.[index] ?? -Infinity))
@@ -112,9 +115,10 @@
       suspicion.crashes++
       suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, crashedMs)
       const isProbe = probe?.part === part && latestStartMs >= probe.startedMs
-      if (isProbe) {
-        this.#probes.delete(service)
+      if (isProbe) this.#probes.delete(service)
+      if (isProbe && event.targets.size === 1) {
         suspicion.probeCrashes++
+        event.probed = suspicion
       }
       if (isBlockable(suspicion)) suspicion.blockedUntilMs = Math.max(suspicion.blockedUntilMs, nowMs + computeBlockMs(suspicion))
       counted.push(suspicion)
@@ -215,6 +219,15 @@
     return event
   }
 
+  /** A probe crashes one target. If others crash at the same time, as in the power loss of a zone, it is not the cause. */
+  #withdrawProbeCrash (event: CrashEvent, nowMs: number): void {
+    const { probed } = event
+    if (!probed) return
+    event.probed = undefined
+    probed.probeCrashes--
+    probed.blockedUntilMs = nowMs + computeBlockMs(probed)
+  }
+
   #getSuspicion ({ service, part }: { service: string, part: string }): Suspicion {
     const key = formatKey(service, part)
     let suspicion = this.#suspicions.get(key)
--- a/src/routing/PromptQuarantine/test.ts
+++ b/src/routing/PromptQuarantine/test.ts
@@ -111,6 +111,17 @@
     expect(getEntry(quarantine, 'bad', 4_600)!.blockedMs).toBeLessThan(3_000)
   })
 
+  // Guards against an innocent part that is blocked for long, because its probe was at a target that lost its power.
+  it.each([0, 1])('does not take the crash of a probe for its fault if another target crashes at the same time', index => {
+    const quarantine = createBlocked()
+    const probe = createParts('bad')
+    quarantine.recordPlacement({ service: 's', parts: probe }, 5_000)
+    const crashes = [{ target: 't7', prompts: [probe], startedMs: [5_000] }, { target: 't8', prompts: [createParts('other')], startedMs: [4_900] }]
+    crash(quarantine, crashes[index], 5_200)
+    crash(quarantine, crashes[1 - index], 5_220)
+    expect(getEntry(quarantine, 'bad', 5_220)!.blockedMs).toBeLessThanOrEqual(2_000)
+  })
+
   // Guards against callers that are refused although the targets have been mended.
   it('ends the block when a probe is answered, and lets the next request through when a probe has no result', () => {
     const quarantine = createBlocked()
