--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -1,5 +1,6 @@
 import type { PromptPart } from '../../contract/PromptPart'
 import type { SuspectPart } from '../../contract/SuspectPart'
+import { computeBlockMs } from './_lib/computeBlockMs'
 import type { Suspicion } from './_lib/Suspicion'
 
 interface PromptQuarantineOptions {
@@ -41,16 +42,6 @@
  * all of its crashes is counted once more, because only few parts have requests at each of several targets.
  */
 const MASS_EVENT_TARGETS = 3
-/**
- * Block time before the first probe. Several innocent parts may share the crashes of the one at fault; those that were
- * answered before are less likely to be at fault, so they are probed first.
- */
-const ANSWERED_BLOCK_MS = 300
-const UNKNOWN_BLOCK_MS = 2_000
-/** A crash by a probe shows that the part is at fault. Each further one makes the block several times as long. */
-const PROBED_BLOCK_MS = 60_000
-const BLOCK_GROWTH = 4
-const MAX_BLOCK_MS = 24 * 3_600_000
 /** A probe that has neither been answered nor crashed its target after this time has had no result. */
 const PROBE_TIMEOUT_MS = 3_000
 const SUSPICION_TTL_MS = 600_000
@@ -266,11 +257,6 @@
   return crashes >= BLOCKED_FROM_CRASHES
 }
 
-function computeBlockMs ({ probeCrashes, wasAnswered }: Suspicion): number {
-  if (probeCrashes > 0) return Math.min(MAX_BLOCK_MS, PROBED_BLOCK_MS * BLOCK_GROWTH ** (probeCrashes - 1))
-  return wasAnswered ? ANSWERED_BLOCK_MS : UNKNOWN_BLOCK_MS
-}
-
 function formatKey (service: string, part: string): string {
   return `${service} ${part}`
 }
