--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -1,5 +1,6 @@
 import type { PromptPart } from '../../contract/PromptPart'
 import type { SuspectPart } from '../../contract/SuspectPart'
+import { computeBlockMs } from './_lib/computeBlockMs'
 import type { Suspicion } from './_lib/Suspicion'
 
 interface PromptQuarantineOptions {
@@ -26,6 +27,8 @@
   startedMs: number
   crashes: number
   targets: Set<string>
+  /** Part whose probe crashed the first target. */
+  probed?: Suspicion
 }
 
 type Prompt = { service: string, parts: readonly PromptPart[] }
@@ -39,16 +42,6 @@
  * all of its crashes is counted once more, because only few parts have requests at each of several targets.
  */
 const MASS_EVENT_TARGETS = 3
-/**
- * Block time before the first probe. Several innocent parts may share the crashes of the one at fault; those that were
- * answered before are less likely to be at fault, so they are probed first.
- */
-const ANSWERED_BLOCK_MS = 300
-const UNKNOWN_BLOCK_MS = 2_000
-/** A crash by a probe shows that the part is at fault. Each further one makes the block several times as long. */
-const PROBED_BLOCK_MS = 60_000
-const BLOCK_GROWTH = 4
-const MAX_BLOCK_MS = 24 * 3_600_000
 /** A probe that has neither been answered nor crashed its target after this time has had no result. */
 const PROBE_TIMEOUT_MS = 3_000
 const SUSPICION_TTL_MS = 600_000
@@ -105,6 +98,7 @@
     this.#expire(nowMs)
     this.#crashes++
     const event = this.#findEvent(service, target, crashedMs)
+    if (event.targets.size > 1) this.#withdrawProbeCrash(event, nowMs)
     const startedByPart = new Map<string, number>()
     for (const [index, parts] of prompts.entries()) {
       for (const part of listSharedParts(parts)) startedByPart.set(part, Math.max(startedByPart.get(part) ?? -Infinity, startedMs?.[index] ?? -Infinity))
@@ -124,9 +118,10 @@
       suspicion.crashes++
       suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, crashedMs)
       const isProbe = probe?.part === part && latestStartMs >= probe.startedMs
-      if (isProbe) {
-        this.#probes.delete(service)
+      if (isProbe) this.#probes.delete(service)
+      if (isProbe && event.targets.size === 1) {
         suspicion.probeCrashes++
+        event.probed = suspicion
       }
       if (isBlockable(suspicion)) suspicion.blockedUntilMs = Math.max(suspicion.blockedUntilMs, nowMs + computeBlockMs(suspicion))
       counted.push(suspicion)
@@ -241,6 +236,15 @@
     return event
   }
 
+  /** A probe crashes one target. If others crash at the same time, as in the power loss of a zone, it is not the cause. */
+  #withdrawProbeCrash (event: CrashEvent, nowMs: number): void {
+    const { probed } = event
+    if (!probed) return
+    event.probed = undefined
+    probed.probeCrashes--
+    probed.blockedUntilMs = nowMs + computeBlockMs(probed)
+  }
+
   #getSuspicion ({ service, part }: { service: string, part: string }): Suspicion {
     const key = formatKey(service, part)
     let suspicion = this.#suspicions.get(key)
@@ -279,11 +283,6 @@
   return crashes >= BLOCKED_FROM_CRASHES
 }
 
-function computeBlockMs ({ probeCrashes, wasAnswered }: Suspicion): number {
-  if (probeCrashes > 0) return Math.min(MAX_BLOCK_MS, PROBED_BLOCK_MS * BLOCK_GROWTH ** (probeCrashes - 1))
-  return wasAnswered ? ANSWERED_BLOCK_MS : UNKNOWN_BLOCK_MS
-}
-
 function formatKey (service: string, part: string): string {
   return `${service} ${part}`
 }
