--- a/src/gateway/ResponseWriter/index.ts
+++ b/src/gateway/ResponseWriter/index.ts
@@ -13,9 +13,9 @@
  *
  * @description
  * One for each call. The head of a stream is sent with its first event, so that an attempt which fails earlier can be
- * retried. A stream that is resumed at another target keeps the head of the first one. A response without a length, which ends when the
- * target closes the connection, is forwarded with the same framing: a target that was killed closes its connection too,
- * so the response must not be framed as if it were known to be complete.
+ * retried. A stream that is resumed at another target keeps the head of the first one. A response without a length, which
+ * ends when the target closes the connection, is forwarded with the same framing: a target that was killed closes its
+ * connection too, so the response must not be framed as if it were known to be complete.
  *
  * @param response - The response to the caller.
  *
--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -1,6 +1,9 @@
 import type { PromptPart } from '../../contract/PromptPart'
 import type { SuspectPart } from '../../contract/SuspectPart'
 import { computeBlockMs } from './_lib/computeBlockMs'
+import type { Crash } from './_lib/Crash'
+import { findLatestStarts } from './_lib/findLatestStarts'
+import { listSharedParts } from './_lib/listSharedParts'
 import type { Suspicion } from './_lib/Suspicion'
 
 interface PromptQuarantineOptions {
@@ -11,17 +14,6 @@
   probeDelayMs?: number
 }
 
-interface Crash {
-  service: string
-  target: string
-  /** Prompts of the requests that were about to be answered. */
-  prompts: readonly (readonly PromptPart[])[]
-  /** Time of placement of each of these requests. */
-  startedMs?: readonly number[]
-  /** Time at which the target crashed; that of the report by default. */
-  crashedMs?: number
-}
-
 interface CrashEvent {
   id: number
   startedMs: number
@@ -94,40 +86,22 @@
 
   /** Records a crash of a target. Returns the parts that are blocked from now on and were not before. */
   recordCrash (crash: Crash, nowMs: number): SuspectPart[] {
-    const { service, target, prompts, startedMs, crashedMs = nowMs } = crash
+    const { service, target, crashedMs = nowMs } = crash
     this.#expire(nowMs)
     this.#crashes++
     const event = this.#findEvent(service, target, crashedMs)
     if (event.targets.size > 1) this.#withdrawProbeCrash(event, nowMs)
-    const startedByPart = new Map<string, number>()
-    for (const [index, parts] of prompts.entries()) {
-      for (const part of listSharedParts(parts)) startedByPart.set(part, Math.max(startedByPart.get(part) ?? -Infinity, startedMs?.[index] ?? -Infinity))
-    }
-    const probe = this.#probes.get(service)
-    const counted: Suspicion[] = []
-    for (const [part, latestStartMs] of startedByPart) {
+    const newlyBlocked: SuspectPart[] = []
+    for (const [part, startedMs] of findLatestStarts(crash)) {
       const suspicion = this.#getSuspicion({ service, part })
       this.#clearedMs.delete(formatKey(service, part))
-      if (suspicion.eventId !== event.id) Object.assign(suspicion, { eventId: event.id, eventCrashes: 0 })
-      suspicion.eventCrashes++
-      suspicion.targets = [...suspicion.targets.filter(id => id !== target), target].slice(-MAX_TARGETS)
-      // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
-      const isRepeated = latestStartMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS
-      const isCommon = event.crashes === MASS_EVENT_TARGETS && suspicion.eventCrashes === event.crashes
-      if (suspicion.eventCrashes > 1 && !isRepeated && !isCommon) continue
-      suspicion.crashes++
-      suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, crashedMs)
-      const isProbe = probe?.part === part && latestStartMs >= probe.startedMs
-      if (isProbe) this.#probes.delete(service)
-      if (isProbe && event.targets.size === 1) {
-        suspicion.probeCrashes++
-        event.probed = suspicion
-      }
+      const isCounted = this.#countCrash(suspicion, { event, target, startedMs, crashedMs })
+      if (!isCounted) continue
       if (isBlockable(suspicion)) suspicion.blockedUntilMs = Math.max(suspicion.blockedUntilMs, nowMs + computeBlockMs(suspicion))
-      counted.push(suspicion)
+      if (suspicion.crashes === BLOCKED_FROM_CRASHES) newlyBlocked.push(this.#convert(suspicion, nowMs))
     }
     this.#evict()
-    return counted.filter(({ crashes }) => crashes === BLOCKED_FROM_CRASHES).map(suspicion => this.#convert(suspicion, nowMs))
+    return newlyBlocked
   }
 
   /** Records that a target began to answer at `nowMs` and survived it. Returns the parts that were blocked until now. */
@@ -209,6 +183,30 @@
     return suspicion !== undefined
   }
 
+  /** Counts a crash for a part, unless it is no new evidence beside other crashes of the event. Returns whether it counts. */
+  #countCrash (suspicion: Suspicion, { event, target, startedMs, crashedMs }: { event: CrashEvent, target: string, startedMs: number, crashedMs: number }): boolean {
+    if (suspicion.eventId !== event.id) Object.assign(suspicion, { eventId: event.id, eventCrashes: 0 })
+    suspicion.eventCrashes++
+    suspicion.targets = [...suspicion.targets.filter(id => id !== target), target].slice(-MAX_TARGETS)
+    // A request that was placed after the previous crash, such as its retry, is new evidence within the window too.
+    const isRepeated = startedMs > suspicion.lastCrashMs && event.targets.size < MASS_EVENT_TARGETS
+    const isCommon = event.crashes === MASS_EVENT_TARGETS && suspicion.eventCrashes === event.crashes
+    if (suspicion.eventCrashes > 1 && !isRepeated && !isCommon) return false
+    suspicion.crashes++
+    suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, crashedMs)
+    this.#countProbeCrash(suspicion, { event, startedMs })
+    return true
+  }
+
+  #countProbeCrash (suspicion: Suspicion, { event, startedMs }: { event: CrashEvent, startedMs: number }): void {
+    const probe = this.#probes.get(suspicion.service)
+    if (probe?.part !== suspicion.part || startedMs < probe.startedMs) return
+    this.#probes.delete(suspicion.service)
+    if (event.targets.size > 1) return
+    suspicion.probeCrashes++
+    event.probed = suspicion
+  }
+
   #recordCleared (key: string, nowMs: number): void {
     this.#clearedMs.delete(key)
     this.#clearedMs.set(key, nowMs)
@@ -275,10 +273,6 @@
   }
 }
 
-function listSharedParts (parts: readonly PromptPart[]): string[] {
-  return [...new Set(parts.slice(0, -1).map(({ id }) => id))]
-}
-
 function isBlockable ({ crashes }: Suspicion): boolean {
   return crashes >= BLOCKED_FROM_CRASHES
 }
