--- a/src/gateway/SuspectCopy/index.ts
+++ b/src/gateway/SuspectCopy/index.ts
@@ -1,11 +1,9 @@
 import type { LoadSummary } from '../../contract/LoadSummary'
 import type { Link } from '../../link/Link'
+import { MAX_SHARED_SUSPECTS } from '../../routing/MAX_SHARED_SUSPECTS'
 import type { PromptQuarantine } from '../../routing/PromptQuarantine'
 import { selectSuspects } from '../../routing/selectSuspects'
 
-/** As many as a load summary carries. */
-const MAX_SUSPECTS = 64
-
 /**
  * @name SuspectCopy
  * @category Gateway
@@ -46,7 +44,7 @@
 
   /** Hands the copy over to the scheduler. */
   send (link: Link, nowMs: number): void {
-    const own = selectSuspects(this.#quarantine.list(nowMs), { max: MAX_SUSPECTS })
+    const own = selectSuspects(this.#quarantine.list(nowMs), { max: MAX_SHARED_SUSPECTS })
     if (own.length > 0) link.send('adoptSuspects', own)
   }
 
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -9,6 +9,7 @@
 import type { Link } from '../../../link/Link'
 import type { MessageHandler } from '../../../link/MessageHandler'
 import { CrashMonitor } from '../../../routing/CrashMonitor'
+import { MAX_SHARED_SUSPECTS } from '../../../routing/MAX_SHARED_SUSPECTS'
 import { PlacementQueue } from '../../../routing/PlacementQueue'
 import { PromptQuarantine } from '../../../routing/PromptQuarantine'
 import { PromptScheduler } from '../../../routing/PromptScheduler'
@@ -38,8 +39,6 @@
  * because they can't be tracked.
  */
 const ROUTER_TIMEOUT_MS = 1_000
-/** Bounds the reply to each load report. */
-const MAX_SUSPECTS = 64
 /** The list of suspects is computed at most this often, because each load report of each router is answered with it. */
 const SUSPECTS_INTERVAL_MS = 50
 
@@ -85,7 +84,7 @@
   /** Suspected prompt parts for the routers. Their block times are up to 50 ms old. */
   getSuspects (): readonly SuspectPart[] {
     const nowMs = performance.now()
-    if (nowMs - this.#suspects.atMs > SUSPECTS_INTERVAL_MS) this.#suspects = { list: selectSuspects(this.quarantine.list(nowMs), { max: MAX_SUSPECTS }), atMs: nowMs }
+    if (nowMs - this.#suspects.atMs > SUSPECTS_INTERVAL_MS) this.#suspects = { list: selectSuspects(this.quarantine.list(nowMs), { max: MAX_SHARED_SUSPECTS }), atMs: nowMs }
     return this.#suspects.list
   }
 
@@ -156,7 +155,7 @@
 
   #acceptSuspects (suspects: readonly SuspectPart[], link: Link): void {
     this.#checkLeader('decide on prompt parts')
-    this.quarantine.merge(suspects.slice(0, MAX_SUSPECTS), performance.now())
+    this.quarantine.merge(suspects.slice(0, MAX_SHARED_SUSPECTS), performance.now())
     this.#suspects.atMs = -Infinity
     this.#options.logger.info('A router handed over its suspected prompt parts.', { router: link.peer.instance, suspects: suspects.length, blocked: suspects.filter(({ blockedMs }) => blockedMs > 0).length })
   }
