Use one type for the crash of a target

The crash detector, the crash monitor and the quarantine each had a type of this name, so a reader had to compare three of them. The type now stands in src/routing/Crash.

--- a/src/routing/CrashDetector/index.ts
+++ b/src/routing/CrashDetector/index.ts
@@ -1,4 +1,5 @@
 import type { PromptPart } from '../../contract/PromptPart'
+import type { Crash } from '../Crash'
 
 interface Call {
   service: string
@@ -20,16 +21,6 @@
   survivors: number
 }
 
-interface Crash {
-  service: string
-  target: string
-  prompts: (readonly PromptPart[])[]
-  /** Time of placement of each of these calls. */
-  startedMs: number[]
-  /** Time at which the first call was reported lost. */
-  crashedMs: number
-}
-
 type CallEvent = 'read' | 'ended' | 'unreachable' | 'lost' | 'withdrawn'
 
 /** Reports on the calls of a crashed target come from all routers within this time, from busy ones last. */
--- a/src/routing/CrashMonitor/index.ts
+++ b/src/routing/CrashMonitor/index.ts
@@ -3,6 +3,7 @@
 import type { PlacementVerdict } from '../../contract/PlacementVerdict'
 import type { SuspectPart } from '../../contract/SuspectPart'
 import type { ComponentLogger } from '../../telemetry/ComponentLogger'
+import type { Crash } from '../Crash'
 import { CrashDetector } from '../CrashDetector'
 import type { PromptQuarantine } from '../PromptQuarantine'
 
@@ -11,7 +12,6 @@
   logger: ComponentLogger
 }
 
-type Crash = NonNullable<ReturnType<CrashDetector['record']>>
 type BlockedVerdict = Extract<PlacementVerdict, { type: 'blocked' }>
 
 /** Refused callers are told to retry no earlier than after this time, also shortly before the end of a block. */
--- a/src/routing/PromptQuarantine/_lib/findLatestStarts/index.ts
+++ b/src/routing/PromptQuarantine/_lib/findLatestStarts/index.ts
@@ -1,4 +1,4 @@
-import type { Crash } from '../Crash'
+import type { Crash } from '../../../Crash'
 import { listSharedParts } from '../listSharedParts'
 
 /** Finds the time of the latest placement of a request with each suspected part. */
--- a/src/routing/PromptQuarantine/index.ts
+++ b/src/routing/PromptQuarantine/index.ts
@@ -1,7 +1,7 @@
 import type { PromptPart } from '../../contract/PromptPart'
 import type { SuspectPart } from '../../contract/SuspectPart'
+import type { Crash } from '../Crash'
 import { computeBlockMs } from './_lib/computeBlockMs'
-import type { Crash } from './_lib/Crash'
 import { findLatestStarts } from './_lib/findLatestStarts'
 import { listSharedParts } from './_lib/listSharedParts'
 import type { Suspicion } from './_lib/Suspicion'
