Log and measure the share of its due that each client account gets

Cause: lines on placements are over the rate limit of 200 a second when calls are refused, and the scheduler counts engine time, so neither shows what an account asked for, got and was refused in the users' tokens.

Change: AccountTraffic keeps these figures for the last six seconds. The leader writes one line a second while calls are refused, with the five accounts with the smallest share and the five with most tokens, and papayalead_scheduler_lowest_share is the smallest share. The scheduler does not use the figures.

--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -8,6 +8,7 @@
 import type { TargetEntry } from '../../../contract/TargetEntry'
 import type { Link } from '../../../link/Link'
 import type { MessageHandler } from '../../../link/MessageHandler'
+import { AccountTraffic } from '../../../routing/AccountTraffic'
 import { CrashMonitor } from '../../../routing/CrashMonitor'
 import { MAX_SHARED_SUSPECTS } from '../../../routing/MAX_SHARED_SUSPECTS'
 import { PlacementQueue } from '../../../routing/PlacementQueue'
@@ -41,6 +42,9 @@
 const ROUTER_TIMEOUT_MS = 1_000
 /** The list of suspects is computed at most this often, because each load report of each router is answered with it. */
 const SUSPECTS_INTERVAL_MS = 50
+const TRAFFIC_LOG_INTERVAL_MS = 1_000
+/** Number of accounts with the smallest share, and of accounts with the most placed tokens, in a log line. */
+const MAX_LOGGED_ACCOUNTS = 5
 
 /**
  * Runs the prompt scheduler of the fleet at the leader of the registry. Its state is soft: routers report their running
@@ -52,6 +56,8 @@
   readonly #options: PlacementServiceOptions
   readonly #routers = new Map<Link, RouterState>()
   readonly #timer: NodeJS.Timeout
+  readonly #trafficTimer: NodeJS.Timeout
+  readonly #traffic = new AccountTraffic()
   #scheduler!: PromptScheduler
   #queue!: PlacementQueue
   readonly #verdicts = { place: 0, refuse: 0, blocked: 0, none: 0 }
@@ -62,6 +68,7 @@
   constructor (options: PlacementServiceOptions) {
     this.#options = options
     this.#timer = setInterval(() => this.#removeCallsOfSilentRouters(), CHECK_INTERVAL_MS)
+    this.#trafficTimer = setInterval(() => this.#logTraffic(), TRAFFIC_LOG_INTERVAL_MS)
     this.reset()
   }
 
@@ -110,6 +117,11 @@
     return { waiting: waitingCount, running: runningCount, verdicts: this.#verdicts }
   }
 
+  /** Smallest share of its due that an account with refused calls got in the last six seconds; 1 if none was refused. */
+  getLowestShare (): number {
+    return this.#listRefusedAccounts()[0]?.share ?? 1
+  }
+
   setTargets (entries: readonly TargetEntry[]): void {
     this.#targets = entries
     this.#scheduler.setTargets(entries)
@@ -119,6 +131,7 @@
   reset (): void {
     this.#queue?.close()
     this.quarantine.replace([], performance.now())
+    this.#traffic.clear()
     this.#suspects = { list: [], atMs: -Infinity }
     const { getMemoryTokens, logger } = this.#options
     const crashMonitor = new CrashMonitor({ quarantine: this.quarantine, logger })
@@ -134,12 +147,16 @@
 
   close (): void {
     clearInterval(this.#timer)
+    clearInterval(this.#trafficTimer)
     this.#queue.close()
   }
 
   async #place (request: PlacementRequest, link: Link): Promise<PlacementVerdict> {
     const startedAtMs = performance.now()
-    const verdict = await this.#queue.request(this.#createGlobalRequest(request, link))
+    const globalRequest = this.#createGlobalRequest(request, link)
+    this.#traffic.recordRequest(request, startedAtMs)
+    const verdict = await this.#queue.request(globalRequest)
+    this.#traffic.recordVerdict(request, verdict, performance.now())
     const { callId: requestId, account, objectiveMs } = request
     this.#verdicts[verdict.type]++
     const { waiting, running } = this.getCounts()
@@ -153,6 +170,21 @@
     return { ...request, id: this.#getRouter(link).idPrefix + request.id }
   }
 
+  #listRefusedAccounts (): ReturnType<AccountTraffic['list']> {
+    return this.#traffic.list(performance.now()).filter(({ refusedCalls }) => refusedCalls > 0)
+  }
+
+  /** Logs the accounts that are furthest below and above their share, while calls are refused. */
+  #logTraffic (): void {
+    const accounts = this.#traffic.list(performance.now())
+    const refused = accounts.filter(({ refusedCalls }) => refusedCalls > 0)
+    if (refused.length === 0) return
+    const below = refused.slice(0, MAX_LOGGED_ACCOUNTS)
+    const above = accounts.sort((a, b) => b.placedTokens - a.placedTokens).slice(0, MAX_LOGGED_ACCOUNTS)
+    const { waiting, running } = this.getCounts()
+    this.#options.logger.info('Calls of client accounts were refused.', { accounts: accounts.length, refusedAccounts: refused.length, below: below.map(formatFigures), above: above.map(formatFigures), waiting, running })
+  }
+
   #acceptSuspects (suspects: readonly SuspectPart[], link: Link): void {
     this.#checkLeader('decide on prompt parts')
     this.quarantine.merge(suspects.slice(0, MAX_SHARED_SUSPECTS), performance.now())
@@ -186,6 +218,10 @@
   }
 }
 
+function formatFigures (figures: ReturnType<AccountTraffic['list']>[number]): object {
+  return { ...figures, share: Math.round(figures.share * 100) / 100 }
+}
+
 function createVerdictFields (verdict: PlacementVerdict): object {
   return 'waitMs' in verdict ? { ...verdict, waitMs: Math.round(verdict.waitMs), readMs: Math.round(verdict.readMs) } : verdict
 }
--- a/src/instance/_lib/PlacementService/test.ts
+++ b/src/instance/_lib/PlacementService/test.ts
@@ -46,6 +46,26 @@
     service.close()
   })
 
+  // Guards against refusals of one account that can't be seen because the lines about its calls are over the rate limit.
+  it('logs once a second which accounts were refused and which were served, while calls are refused', async () => {
+    const { service, request, lines } = createService()
+    const { link } = createLink()
+    const stop = setInterval(() => service.observeRouter(link), 100)
+    await request(link, '1')
+    const refused = request(link, '2')
+    await jest.advanceTimersByTimeAsync(2_000)
+    expect(await refused).toMatchObject({ type: 'refuse' })
+    const logged = lines.filter(line => line !== undefined && 'refusedAccounts' in line)
+    expect(logged.at(-1)).toMatchObject({ refusedAccounts: 1, below: [{ account: 'a', askedTokens: 240, placedTokens: 120, refusedTokens: 120, refusedCalls: 1 }], above: [{ account: 'a' }] })
+    expect(service.getLowestShare()).toBe(1)
+    await jest.advanceTimersByTimeAsync(7_000)
+    const { length } = lines
+    await jest.advanceTimersByTimeAsync(3_000)
+    expect(lines).toHaveLength(length)
+    clearInterval(stop)
+    service.close()
+  })
+
   it('keeps the calls of a router that continues to report its load', async () => {
     const { service, request } = createService()
     const [busy, other] = [createLink(), createLink()]
--- a/src/instance/registerRegistryMetrics/index.ts
+++ b/src/instance/registerRegistryMetrics/index.ts
@@ -16,6 +16,8 @@
    * type since the start of the process.
    */
   getPlacements: () => { waiting: number, running: number, verdicts: Readonly<Record<string, number>> }
+  /** Smallest share of its due that a client account with refused calls got in the last six seconds; 1 if none. */
+  getLowestShare: () => number
   /** Number of blocked prompt parts, and number of counted crashes of targets since the start of the process. */
   getQuarantine: () => { blockedParts: number, crashes: number }
 }
@@ -33,7 +35,7 @@
  * @example
  * registerRegistryMetrics(metrics, state)
  */
-export function registerRegistryMetrics (metrics: Metrics, { getStatus, getStatistics, countDecodedDocuments, getVersion, getListAgeMs, getPlacements, getQuarantine }: RegistryState): void {
+export function registerRegistryMetrics (metrics: Metrics, { getStatus, getStatistics, countDecodedDocuments, getVersion, getListAgeMs, getPlacements, getLowestShare, getQuarantine }: RegistryState): void {
   const register = (name: string, help: string, read: () => number): void => metrics.registerReading({ name, help, read: () => [{ value: read() }] })
   register('registry_is_leader', '1 if this replica leads the log.', () => Number(getStatus().role === 'leader'))
   register('registry_term', 'Term of the log.', () => getStatus().term)
@@ -48,6 +50,7 @@
   register('registry_list_age_seconds', 'Age of the list of targets; infinite at a replica that does not lead.', () => getListAgeMs() / MS_PER_S)
   register('scheduler_waiting', 'Prompts that wait for a verdict.', () => getPlacements().waiting)
   register('scheduler_running', 'Prompts that were placed and have not ended.', () => getPlacements().running)
+  register('scheduler_lowest_share', 'Smallest share of its due that a client account with refused calls got in the last six seconds; 1 if none was refused.', getLowestShare)
   register('scheduler_blocked_parts', 'Prompt parts whose requests are refused because targets crash under them.', () => getQuarantine().blockedParts)
   register('scheduler_target_crashes_total', 'Crashes of targets that were counted against prompt parts.', () => getQuarantine().crashes)
   metrics.registerReading({
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -104,7 +104,7 @@
     onError: error => logger.warn('The list of targets can not be read.', { reason: String(error) })
   })
   const getListAgeMs = (): number => performance.now() - reader.readAtMs
-  registerRegistryMetrics(metrics, { getStatus: () => getStatus(logs), getStatistics: () => logs.getLog('documents').statistics, countDecodedDocuments: () => decodedDocuments, getVersion: () => documents.version, getListAgeMs, getPlacements: () => placement.getCounts(), getQuarantine: () => placement.getQuarantineCounts() })
+  registerRegistryMetrics(metrics, { getStatus: () => getStatus(logs), getStatistics: () => logs.getLog('documents').statistics, countDecodedDocuments: () => decodedDocuments, getVersion: () => documents.version, getListAgeMs, getPlacements: () => placement.getCounts(), getLowestShare: () => placement.getLowestShare(), getQuarantine: () => placement.getQuarantineCounts() })
   const watchers = new FleetWatchers({ getView: request => createFleetView(request, { logs, documents, reader }) })
   const loads = new LoadTable()
   const permits = new RotationPermits()
--- /dev/null
+++ b/src/routing/AccountTraffic/test.ts
@@ -0,0 +1,27 @@
+import { AccountTraffic } from '.'
+
+const createRequest = (account: string, promptTokens: number) => ({ account, promptTokens, outputTokens: 50 })
+
+describe('AccountTraffic', () => {
+  // Guards against figures that hide an account which is refused while another one is served.
+  it('lists what each account asked and got in the last six whole seconds, the smallest share first', () => {
+    const traffic = new AccountTraffic()
+    for (let second = 0; second < 8; second++) {
+      const nowMs = second * 1e3
+      for (const account of ['a', 'b']) traffic.recordRequest(createRequest(account, 900), nowMs)
+      traffic.recordVerdict(createRequest('a', 900), { type: 'place', readMs: 10 }, nowMs)
+      traffic.recordVerdict(createRequest('b', 900), second % 4 === 0 ? { type: 'place', readMs: 10 } : { type: 'refuse' }, nowMs)
+    }
+    const [b, a] = traffic.list(8_400)
+    expect(b).toMatchObject({ account: 'b', askedTokens: 6_000, placedTokens: 1_000, refusedTokens: 5_000, refusedCalls: 5 })
+    expect(b.share).toBeCloseTo(1 / 6)
+    expect(a).toMatchObject({ account: 'a', placedTokens: 6_000, refusedCalls: 0, engineMs: 91, share: 1 })
+  })
+
+  it('forgets accounts without calls in the window', () => {
+    const traffic = new AccountTraffic()
+    traffic.recordRequest(createRequest('a', 900), 0)
+    expect(traffic.list(6_900)).toHaveLength(1)
+    expect(traffic.list(7_000)).toEqual([])
+  })
+})
--- /dev/null
+++ b/src/routing/computeCallTokens/index.ts
@@ -0,0 +1,17 @@
+/** Weight of a generated token in the users' figures of throughput. */
+const GENERATED_TOKEN_WEIGHT = 2
+
+/**
+ * @name computeCallTokens
+ * @category Routing
+ * @summary Computes the size of a call in the users' tokens: a prompt token counts once, cached or not, a generated one twice.
+ *
+ * @param call - Tokens of the whole prompt and of the output.
+ * @returns Tokens.
+ *
+ * @example
+ * computeCallTokens({ promptTokens: 17_000, outputTokens: 120 }) // 17_240
+ */
+export function computeCallTokens ({ promptTokens, outputTokens }: { promptTokens: number, outputTokens: number }): number {
+  return promptTokens + GENERATED_TOKEN_WEIGHT * outputTokens
+}
