--- a/src/bench/_lib/placement/createPromptLoad/index.ts
+++ b/src/bench/_lib/placement/createPromptLoad/index.ts
@@ -47,8 +47,8 @@
 
 /** Exponent of the Zipf distribution of calls over accounts. */
 const ACCOUNT_SKEW = 1.2
-/** Highest product of the factors of concurrent surges that thinning can represent. */
-const MAX_SURGE_FACTOR = 12
+/** Factor on the arrival rate up to which thinning represents surges, unless they have a higher product. */
+const MIN_THINNING_FACTOR = 12
 const TOKENS_PER_EVENT = 5
 const MIN_EVENT_TIMEOUT_MS = 2_400
 
@@ -83,12 +83,13 @@
  * probability equal to the current rate divided by the highest rate, so that surges need no separate process.
  */
 function * listArrivals (callsPerMs: number, { options, account, kind, random }: { options: LoadOptions, account: number, kind: string, random: () => number }): Generator<number> {
+  const own = (options.surges ?? []).filter(surge => (surge.account ?? account) === account && (surge.kind ?? kind) === kind)
+  const maxFactor = Math.max(MIN_THINNING_FACTOR, own.reduce((product, { factor }) => product * Math.max(1, factor), 1))
   for (let atMs = 0; ;) {
-    atMs += -Math.log(1 - random()) / (callsPerMs * MAX_SURGE_FACTOR)
+    atMs += -Math.log(1 - random()) / (callsPerMs * maxFactor)
     if (atMs >= options.seconds * 1e3) return
-    const surges = (options.surges ?? []).filter(surge => isActive(surge, atMs) && (surge.account ?? account) === account && (surge.kind ?? kind) === kind)
-    const factor = surges.reduce((product, surge) => product * surge.factor, 1)
-    if (random() < factor / MAX_SURGE_FACTOR) yield atMs
+    const factor = own.filter(surge => isActive(surge, atMs)).reduce((product, surge) => product * surge.factor, 1)
+    if (random() < factor / maxFactor) yield atMs
   }
 }
 
--- a/src/bench/_lib/placement/runPlacement/index.ts
+++ b/src/bench/_lib/placement/runPlacement/index.ts
@@ -1,8 +1,10 @@
+import { computeCallTokens } from '../../../../routing/computeCallTokens'
 import { EngineModel } from '../EngineModel'
 import type { EngineParameters } from '../EngineParameters'
 import { EventQueue } from '../EventQueue'
 import type { PlacementActions } from '../PlacementActions'
 import type { PromptCall } from '../PromptCall'
+import { ShareMeter } from '../ShareMeter'
 
 type Outcome = 'inTime' | 'late' | 'refused' | 'failed'
 
@@ -26,6 +28,8 @@
    */
   largestServed: number
   prefilledTokens: number
+  /** Shares of the accounts in the users' tokens: a prompt token counts once, cached or not, a generated one twice. */
+  shares: ShareMeter
   outcomes: Record<Outcome, number>
 }
 
@@ -55,13 +59,19 @@
   const results = new Map<string, { call: PromptCall, outcome: Outcome, isRefusedAgain: boolean }>()
   const arrivals = new Map(calls.map(call => [call.id, call.atMs]))
   const record = (call: PromptCall, outcome: Outcome): void => { results.set(call.id, { call, outcome, isRefusedAgain: outcome === 'refused' && call.isRetry }) }
+  const shares = new ShareMeter()
+  const accept = (call: PromptCall): void => {
+    shares.recordRequest(call.account, computeCallTokens(call), events.nowMs)
+    policy.accept(call, actions)
+  }
   const actions: PlacementActions = {
     nowMs: () => events.nowMs,
     schedule: (delayMs, run) => events.schedule(delayMs, run),
     send: (call, engine) => startCall(call, engines[engine]),
     refuse: (call, retryAfterMs) => {
+      shares.recordRefusal(call.account, events.nowMs)
       if (call.isRetry) return record(call, 'refused')
-      events.schedule(retryAfterMs, () => policy.accept({ ...call, isRetry: true }, actions))
+      events.schedule(retryAfterMs, () => accept({ ...call, isRetry: true }))
     }
   }
   const policy = createPolicy(actions)
@@ -73,6 +83,7 @@
       if (state.isEnded) return
       state.isEnded = true
       cancel()
+      shares.recordLateness(call.account, { fromMs: sentMs + call.objectiveMs, untilMs: state.firstMs || events.nowMs })
       record(call, outcome)
       policy.handleEnd(call)
     }
@@ -80,8 +91,10 @@
       parts: call.parts,
       outputTokens: call.outputTokens,
       onEvent: () => {
-        if (state.firstMs === 0) policy.handleFirstEvent(call)
-        else state.pauseMs = Math.max(state.pauseMs, events.nowMs - state.lastMs)
+        if (state.firstMs === 0) {
+          policy.handleFirstEvent(call)
+          shares.recordStart(call.account, computeCallTokens(call), events.nowMs)
+        } else state.pauseMs = Math.max(state.pauseMs, events.nowMs - state.lastMs)
         state.firstMs ||= events.nowMs
         state.lastMs = events.nowMs
         if (state.pauseMs > call.eventTimeoutMs) complete('failed')
@@ -91,17 +104,17 @@
     events.schedule(call.eventTimeoutMs - (call.isRetry ? 0 : sentMs - arrivedMs), () => { if (state.firstMs === 0) complete('failed') })
     events.schedule(arrivedMs + call.deadlineMs - sentMs, () => complete('failed'))
   }
-  for (const call of calls) events.schedule(call.atMs, () => policy.accept(call, actions))
+  for (const call of calls) events.schedule(call.atMs, () => accept(call))
   if (slow) {
     const setSlowdown = (factor: number): void => { for (const engine of engines.slice(0, slow.engines)) engine.slowdown = factor }
     events.schedule(slow.fromS * 1e3, () => setSlowdown(slow.factor))
     events.schedule(slow.untilS * 1e3, () => setSlowdown(1))
   }
   events.runUntil(seconds * 1e3 + DRAIN_MS)
-  return computeFigures(calls, results, engines)
+  return { ...computeFigures(calls, results, engines), shares }
 }
 
-function computeFigures (calls: readonly PromptCall[], results: ReadonlyMap<string, { outcome: Outcome, isRefusedAgain: boolean }>, engines: readonly EngineModel[]): PlacementFigures {
+function computeFigures (calls: readonly PromptCall[], results: ReadonlyMap<string, { outcome: Outcome, isRefusedAgain: boolean }>, engines: readonly EngineModel[]): Omit<PlacementFigures, 'shares'> {
   const outcomes: Record<Outcome, number> = { inTime: 0, late: 0, refused: 0, failed: 0 }
   const byAccount = new Map<string, { credit: number, maxCredit: number }>()
   let largest = 0
