Show whether the scheduler's count of running calls agrees with the routers

A count of running calls that grows says nothing about why: lost reports of ended calls look like load. The leader now logs once a second the running calls by the way in which it learnt of them, their ages, the difference from the load reports of the routers, the outstanding prefill and the largest slowdown, and exposes them as metrics. Routers count the events that they could not send.

--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -61,6 +61,7 @@
   #registeredLink: Link | undefined
   #fallbackUntilMs = -Infinity
   #blockedCalls = 0
+  #unsentProgress = 0
 
   constructor (options: PlacementClientOptions) {
     this.#options = options
@@ -76,6 +77,11 @@
     return this.#blockedCalls
   }
 
+  /** Events of calls of a scheduler that could not be sent to it, because it was lost or did not reply. */
+  get unsentProgress (): number {
+    return this.#unsentProgress
+  }
+
   countBlockedParts (): number {
     return this.quarantine.list(performance.now()).filter(({ blockedMs }) => blockedMs > 0).length
   }
@@ -124,7 +130,11 @@
     this.#localQueue.record(id, event)
     const link = this.#linksByCall.get(id)
     if (event !== 'read') this.#linksByCall.delete(id)
-    if (!link || link.isClosed) return
+    if (!link) return
+    if (link.isClosed) {
+      this.#unsentProgress++
+      return
+    }
     if (this.#progress.length === 0) setImmediate(() => this.#sendProgress())
     this.#progress.push([id, event])
   }
@@ -164,7 +174,8 @@
     const byLink = new Map<Link, PlacementProgress>()
     for (const entry of this.#progress) {
       const link = this.#linksByCall.get(entry[0]) ?? this.#registeredLink
-      if (link) byLink.set(link, [...byLink.get(link) ?? [], entry])
+      if (link && !link.isClosed) byLink.set(link, [...byLink.get(link) ?? [], entry])
+      else this.#unsentProgress++
     }
     this.#progress = []
     for (const [link, progress] of byLink) link.send('reportProgress', progress)
--- a/src/gateway/PlacementClient/test.ts
+++ b/src/gateway/PlacementClient/test.ts
@@ -57,6 +57,21 @@
     expect(second.sent.slice(1)).toEqual([['reportProgress', [['1', 'ended'], ['2', 'read']]]])
   })
 
+  // Guards against ends of calls that are lost without a sign, so that the scheduler counts the calls forever.
+  it('counts the events that it can not send', async () => {
+    const { link } = createLink(async () => ({ type: 'place', target: 't1', waitMs: 0, readMs: 5 }))
+    const client = createClient(() => link)
+    await client.request(createRequest('1'))
+    await client.request(createRequest('2'))
+    client.record('1', 'ended')
+    await new Promise(resolve => setImmediate(resolve))
+    expect(client.unsentProgress).toBe(0)
+    Object.assign(link, { isClosed: true })
+    client.record('2', 'ended')
+    await new Promise(resolve => setImmediate(resolve))
+    expect(client.unsentProgress).toBe(1)
+  })
+
   // Guards against a scheduler that stays late after its election: each late reply made its router send all running calls
   // again, as many records a second as the scheduler places prompts.
   it('reports only the calls that the scheduler does not track, after a late reply', async () => {
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod'
 import { AppError } from '../../../contract/AppError'
+import type { LoadReport } from '../../../contract/LoadReport'
 import { PlacementProgress } from '../../../contract/PlacementProgress'
 import type { PlacementVerdict } from '../../../contract/PlacementVerdict'
 import { PlacementRequest } from '../../../contract/PlacementRequest'
@@ -9,12 +10,14 @@
 import type { Link } from '../../../link/Link'
 import type { MessageHandler } from '../../../link/MessageHandler'
 import { CrashMonitor } from '../../../routing/CrashMonitor'
+import { computeTrackingStatistics } from '../../../routing/computeTrackingStatistics'
 import { MAX_SHARED_SUSPECTS } from '../../../routing/MAX_SHARED_SUSPECTS'
 import { PlacementQueue } from '../../../routing/PlacementQueue'
 import { PromptQuarantine } from '../../../routing/PromptQuarantine'
 import { PromptScheduler } from '../../../routing/PromptScheduler'
 import { selectSuspects } from '../../../routing/selectSuspects'
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
+import { compareCallCounts } from './_lib/compareCallCounts'
 
 interface PlacementServiceOptions {
   isLeader: () => boolean
@@ -29,11 +32,16 @@
   idPrefix: string
   /** Monotonic time of the router's last load report, or of its first message. */
   heardAtMs: number
+  /** Requests at engines in the newest load report. */
+  reported: number
 }
 
+type Tracking = ReturnType<typeof computeTrackingStatistics> & ReturnType<typeof compareCallCounts> & ReturnType<PromptScheduler['getEstimates']>
+
 const AdoptedPlacements = z.array(RunningPlacement)
 const AdoptedSuspects = z.array(SuspectPart)
 const CHECK_INTERVAL_MS = 250
+const TRACKING_LOG_INTERVAL_MS = 1_000
 /**
  * Routers report their load four times as often. The calls of a router that has sent no report for this time are removed,
  * because they can't be tracked.
@@ -52,6 +60,7 @@
   readonly #options: PlacementServiceOptions
   readonly #routers = new Map<Link, RouterState>()
   readonly #timer: NodeJS.Timeout
+  readonly #trackingTimer: NodeJS.Timeout
   #scheduler!: PromptScheduler
   #queue!: PlacementQueue
   readonly #verdicts = { place: 0, refuse: 0, blocked: 0, none: 0 }
@@ -62,6 +71,7 @@
   constructor (options: PlacementServiceOptions) {
     this.#options = options
     this.#timer = setInterval(() => this.#removeCallsOfSilentRouters(), CHECK_INTERVAL_MS)
+    this.#trackingTimer = setInterval(() => this.#logTracking(), TRACKING_LOG_INTERVAL_MS)
     this.reset()
   }
 
@@ -110,6 +120,24 @@
     return { waiting: waitingCount, running: runningCount, verdicts: this.#verdicts }
   }
 
+  /** Compares the calls that the scheduler tracks with those that the routers report. */
+  getTracking (): Tracking {
+    const nowMs = performance.now()
+    const calls = this.#scheduler.listCalls()
+    const tracked = new Map<string, number>()
+    for (const { request } of calls) {
+      const idPrefix = request.id.slice(0, request.id.indexOf(':') + 1)
+      tracked.set(idPrefix, (tracked.get(idPrefix) ?? 0) + 1)
+    }
+    const routers = [...this.#routers].map(([link, { idPrefix, reported }]) => {
+      const counts = { router: link.peer.instance, tracked: tracked.get(idPrefix) ?? 0, reported }
+      tracked.delete(idPrefix)
+      return counts
+    })
+    const unlinked = [...tracked.values()].reduce((sum, count) => sum + count, 0)
+    return { ...computeTrackingStatistics(calls, nowMs), ...this.#scheduler.getEstimates(nowMs), ...compareCallCounts([...routers, { router: 'unlinked', tracked: unlinked, reported: 0 }]) }
+  }
+
   setTargets (entries: readonly TargetEntry[]): void {
     this.#targets = entries
     this.#scheduler.setTargets(entries)
@@ -127,13 +155,17 @@
     this.#queue = new PlacementQueue(this.#scheduler)
   }
 
-  /** Records that a router is alive. */
-  observeRouter (link: Link): void {
-    this.#getRouter(link).heardAtMs = performance.now()
+  /** Records that a router is alive, and how many requests it runs at engines. */
+  observeRouter (link: Link, report: Pick<LoadReport, 'targets'>): void {
+    const router = this.#getRouter(link)
+    router.heardAtMs = performance.now()
+    const engines = new Set(this.#targets.filter(({ service }) => this.#options.getMemoryTokens(service) !== undefined).map(({ id }) => id))
+    router.reported = report.targets.reduce((sum, [target, running]) => engines.has(target) ? sum + running : sum, 0)
   }
 
   close (): void {
     clearInterval(this.#timer)
+    clearInterval(this.#trackingTimer)
     this.#queue.close()
   }
 
@@ -167,7 +199,7 @@
   #getRouter (link: Link): RouterState {
     const known = this.#routers.get(link)
     if (known) return known
-    const router = { idPrefix: `${this.#nextRouterNumber++}:`, heardAtMs: performance.now() }
+    const router = { idPrefix: `${this.#nextRouterNumber++}:`, heardAtMs: performance.now(), reported: 0 }
     this.#routers.set(link, router)
     link.onClose(() => {
       this.#routers.delete(link)
@@ -176,6 +208,13 @@
     return router
   }
 
+  #logTracking (): void {
+    if (!this.#options.isLeader()) return
+    const { worst, maxSlowdown, ...tracking } = this.getTracking()
+    const rounded = Object.fromEntries(Object.entries(tracking).map(([name, value]) => [name, Math.round(value)]))
+    this.#options.logger.info('Tracked calls were compared with load reports.', { ...rounded, maxSlowdown: Number(maxSlowdown.toFixed(2)), routers: this.#routers.size, worst })
+  }
+
   #removeCallsOfSilentRouters (): void {
     const sinceMs = performance.now() - ROUTER_TIMEOUT_MS
     for (const { idPrefix, heardAtMs } of this.#routers.values()) if (heardAtMs < sinceMs) this.#removeCalls(idPrefix)
--- a/src/instance/_lib/PlacementService/test.ts
+++ b/src/instance/_lib/PlacementService/test.ts
@@ -52,7 +52,7 @@
     await request(busy.link, '1')
     for (let i = 0; i < 6; i++) {
       jest.advanceTimersByTime(250)
-      service.observeRouter(busy.link)
+      service.observeRouter(busy.link, { targets: [] })
     }
     const waiting = request(other.link, '1')
     jest.advanceTimersByTime(300)
@@ -60,6 +60,23 @@
     service.close()
   })
 
+  // Guards against calls that stay counted after their end and look like load.
+  it('compares the calls that it tracks with the load report of their router once a second', async () => {
+    const { service, request, lines } = createService()
+    service.setTargets([target, { ...target, id: 't2' }])
+    const { link } = createLink()
+    await request(link, '1')
+    service.handlers.get('adoptPlacements')!([{ request: createRequest('9'), target: 't2', readMs: 5, isRead: true }], link)
+    lines.length = 0
+    for (let i = 0; i < 4; i++) {
+      jest.advanceTimersByTime(250)
+      service.observeRouter(link, { targets: [['t2', 1, 100]] })
+    }
+    expect(lines).toEqual([expect.objectContaining({ placed: 1, adopted: 1, unread: 1, oldestMs: 1_000, tracked: 2, reported: 1, surplus: 1, missing: 0, worst: { router: 'edge-1', tracked: 2, reported: 1 } })])
+    expect(service.getTracking()).toMatchObject({ placed: 1, adopted: 1, surplus: 1, missing: 0, maxSlowdown: 1 })
+    service.close()
+  })
+
   // Guards against two replicas that place calls at the same time, each with an incomplete state.
   it('refuses placement requests at a follower, and fails waiting ones when the service is reset', async () => {
     const follower = createService(false)
--- a/src/instance/registerGatewayMetrics/index.ts
+++ b/src/instance/registerGatewayMetrics/index.ts
@@ -16,6 +16,8 @@
   countBlockedParts: () => number
   /** Placements that were refused because of a blocked prompt part since the start. */
   countBlockedCalls: () => number
+  /** Events of placed calls that could not be sent to the scheduler since the start. */
+  countUnsentProgress: () => number
 }
 
 const MS_PER_S = 1_000
@@ -41,4 +43,5 @@
   register('gateway_longest_iteration_seconds', 'Longest event loop iteration since the start.', () => state.getLongestIterationMs() / MS_PER_S)
   register('gateway_blocked_parts', 'Prompt parts whose requests the router refuses because targets crash under them.', state.countBlockedParts)
   register('gateway_blocked_requests_total', 'Placements that were refused because of a blocked prompt part.', state.countBlockedCalls)
+  register('gateway_unsent_progress_total', 'Events of placed prompts that could not be sent to the scheduler.', state.countUnsentProgress)
 }
--- a/src/instance/registerRegistryMetrics/index.ts
+++ b/src/instance/registerRegistryMetrics/index.ts
@@ -16,6 +16,11 @@
    * type since the start of the process.
    */
   getPlacements: () => { waiting: number, running: number, verdicts: Readonly<Record<string, number>> }
+  /**
+   * Running prompts by the way in which the scheduler learnt of them, ages in milliseconds, and differences from the load
+   * reports of the routers.
+   */
+  getTracking: () => { placed: number, adopted: number, oldestMs: number, p99Ms: number, surplus: number, missing: number, pendingPrefillMs: number, maxSlowdown: number }
   /** Number of blocked prompt parts, and number of counted crashes of targets since the start of the process. */
   getQuarantine: () => { blockedParts: number, crashes: number }
 }
@@ -33,7 +38,7 @@
  * @example
  * registerRegistryMetrics(metrics, state)
  */
-export function registerRegistryMetrics (metrics: Metrics, { getStatus, getStatistics, countDecodedDocuments, getVersion, getListAgeMs, getPlacements, getQuarantine }: RegistryState): void {
+export function registerRegistryMetrics (metrics: Metrics, { getStatus, getStatistics, countDecodedDocuments, getVersion, getListAgeMs, getPlacements, getTracking, getQuarantine }: RegistryState): void {
   const register = (name: string, help: string, read: () => number): void => metrics.registerReading({ name, help, read: () => [{ value: read() }] })
   register('registry_is_leader', '1 if this replica leads the log.', () => Number(getStatus().role === 'leader'))
   register('registry_term', 'Term of the log.', () => getStatus().term)
@@ -48,6 +53,18 @@
   register('registry_list_age_seconds', 'Age of the list of targets; infinite at a replica that does not lead.', () => getListAgeMs() / MS_PER_S)
   register('scheduler_waiting', 'Prompts that wait for a verdict.', () => getPlacements().waiting)
   register('scheduler_running', 'Prompts that were placed and have not ended.', () => getPlacements().running)
+  register('scheduler_oldest_call_seconds', 'Time since the oldest running prompt was placed or adopted.', () => getTracking().oldestMs / MS_PER_S)
+  register('scheduler_p99_call_seconds', 'Time since the placement or adoption that one in a hundred running prompts exceeds.', () => getTracking().p99Ms / MS_PER_S)
+  register('scheduler_surplus_calls', 'Running prompts of the scheduler that no load report contains.', () => getTracking().surplus)
+  register('scheduler_missing_calls', 'Prompts in load reports that the scheduler does not count as running.', () => getTracking().missing)
+  register('scheduler_pending_prefill_seconds', 'Estimated outstanding prefill of all engines.', () => getTracking().pendingPrefillMs / MS_PER_S)
+  register('scheduler_max_slowdown', 'Slowdown of the slowest engine against the estimates.', () => getTracking().maxSlowdown)
+  metrics.registerReading({
+    name: 'scheduler_tracked_calls',
+    help: 'Running prompts by the way in which the scheduler learnt of them.',
+    labels: ['source'],
+    read: () => (['placed', 'adopted'] as const).map(source => ({ labels: { source }, value: getTracking()[source] }))
+  })
   register('scheduler_blocked_parts', 'Prompt parts whose requests are refused because targets crash under them.', () => getQuarantine().blockedParts)
   register('scheduler_target_crashes_total', 'Crashes of targets that were counted against prompt parts.', () => getQuarantine().crashes)
   metrics.registerReading({
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -156,7 +156,8 @@
     countOverloads: () => monitor.overloads,
     getLongestIterationMs: () => monitor.longestIterationMs,
     countBlockedParts: () => placements.countBlockedParts(),
-    countBlockedCalls: () => placements.blockedCalls
+    countBlockedCalls: () => placements.blockedCalls,
+    countUnsentProgress: () => placements.unsentProgress
   })
   await startReadinessServer(settings.ready, { isReady: () => readiness.isReady(), metrics, lifecycle })
   const running = { addSeeds: (hosts: readonly string[]) => registry.addReplicas(hosts) }
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -104,7 +104,7 @@
     onError: error => logger.warn('The list of targets can not be read.', { reason: String(error) })
   })
   const getListAgeMs = (): number => performance.now() - reader.readAtMs
-  registerRegistryMetrics(metrics, { getStatus: () => getStatus(logs), getStatistics: () => logs.getLog('documents').statistics, countDecodedDocuments: () => decodedDocuments, getVersion: () => documents.version, getListAgeMs, getPlacements: () => placement.getCounts(), getQuarantine: () => placement.getQuarantineCounts() })
+  registerRegistryMetrics(metrics, { getStatus: () => getStatus(logs), getStatistics: () => logs.getLog('documents').statistics, countDecodedDocuments: () => decodedDocuments, getVersion: () => documents.version, getListAgeMs, getPlacements: () => placement.getCounts(), getTracking: () => placement.getTracking(), getQuarantine: () => placement.getQuarantineCounts() })
   const watchers = new FleetWatchers({ getView: request => createFleetView(request, { logs, documents, reader }) })
   const loads = new LoadTable()
   const permits = new RotationPermits()
@@ -115,9 +115,9 @@
     ['fetchDocument', () => documents.document ?? null],
     ['reportLoad', (body, link) => {
       if (!isLeader()) throw new AppError('not-leader', 'This replica is not the leader, so it does not merge load reports.')
-      placement.observeRouter(link)
       const { instance, zone } = link.peer
       const report = LoadReport.parse(body)
+      placement.observeRouter(link, report)
       loads.record(instance, report, performance.now())
       const mayLeaveRotation = permits.observe({ router: instance, zone, isOverloaded: report.isOverloaded }, performance.now())
       return { ...loads.computeSummary(instance, performance.now()), mayLeaveRotation, suspects: [...placement.getSuspects()], term: getStatus(logs).term } satisfies LoadSummary
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -11,6 +11,7 @@
 import { EngineState } from '../EngineState'
 import { RendezvousOrder } from '../RendezvousOrder'
 import { TargetSlowdowns } from '../TargetSlowdowns'
+import type { TrackedCall } from '../TrackedCall'
 import type { Candidate } from './_lib/Candidate'
 import { chooseBest } from './_lib/chooseBest'
 
@@ -19,8 +20,7 @@
   sinceMs: number
 }
 
-interface RunningCall extends RunningPlacement {
-  startedMs: number
+interface RunningCall extends TrackedCall {
   /** Estimated time from the placement to the first event. */
   estimatedMs: number
 }
@@ -150,7 +150,7 @@
   /** Adds a running call that another scheduler placed. */
   accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number): void {
     if (this.#running.has(request.id)) return
-    this.#start(request, { target, readMs, estimatedMs: readMs, isRead }, nowMs)
+    this.#start(request, { target, readMs, estimatedMs: readMs, isRead, isAdopted: true }, nowMs)
     if (isRead) this.#recordRead(this.#running.get(request.id)!, nowMs)
   }
 
@@ -174,6 +174,17 @@
     return [...this.#running.values()].map(({ request, target, readMs, isRead }) => ({ request, target, readMs, isRead }))
   }
 
+  listCalls (): readonly TrackedCall[] {
+    return [...this.#running.values()]
+  }
+
+  /** Estimates that all placements are based on: outstanding prefill, and by how much it is scaled for slow targets. */
+  getEstimates (nowMs: number): { pendingPrefillMs: number, maxPendingPrefillMs: number, maxSlowdown: number } {
+    const pending = [...this.#engines.values()].map(({ pendingPrefillMs }) => pendingPrefillMs)
+    const slowdowns = [...this.#engines.keys()].map(id => this.#slowdowns.getSlowdown(id, nowMs))
+    return { pendingPrefillMs: pending.reduce((sum, ms) => sum + ms, 0), maxPendingPrefillMs: Math.max(0, ...pending), maxSlowdown: Math.max(1, ...slowdowns) }
+  }
+
   #recordRead (call: RunningCall, nowMs: number): void {
     if (call.isRead) return
     call.isRead = true
@@ -209,14 +220,14 @@
 
   #place (request: PlacementRequest, { target, readMs, waitMs }: Candidate, nowMs: number): PlacementVerdict {
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
-    this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs, isRead: false }, nowMs)
+    this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
     this.#options.crashMonitor.recordPlacement(request, target.id, nowMs)
     return { type: 'place', target: target.id, waitMs, readMs }
   }
 
-  #start (request: PlacementRequest, { target, readMs, estimatedMs, isRead }: { target: string, readMs: number, estimatedMs: number, isRead: boolean }, nowMs: number): void {
+  #start (request: PlacementRequest, { target, readMs, estimatedMs, isRead, isAdopted }: Omit<RunningCall, 'request' | 'startedMs'>, nowMs: number): void {
     this.#options.crashMonitor.start(request, { target, isRead }, nowMs)
-    this.#running.set(request.id, { request, target, readMs, isRead: false, startedMs: nowMs, estimatedMs })
+    this.#running.set(request.id, { request, target, readMs, isRead: false, isAdopted, startedMs: nowMs, estimatedMs })
     this.#usage.charge(request.account, computeCallCost({ ...request, readMs }), nowMs)
     const entry = this.#targets.find(({ id }) => id === target)
     if (entry) this.#getEngine(entry).start({ id: request.id, parts: request.parts, readMs }, nowMs)
