--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -196,4 +196,20 @@
     expect(scheduler.request(crashing('d', 'bad'), 3_120)).toMatchObject({ type: 'blocked', part: 'bad' })
     expect(getTarget(scheduler.request(crashing('a'), 3_120))).toMatch(/^t/)
   })
+
+  // Guards against waits of seconds at slow engines that are not real: the outstanding prefill of a call was scaled by the
+  // slowdown when the call was placed, and once more when the wait of the next one was estimated.
+  it('scales the outstanding prefill of a slow engine once', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    for (let i = 0; i < 10; i++) {
+      const request = createRequest({ objectiveMs: 600 })
+      scheduler.request(request, i * 1_000)
+      scheduler.record(request.id, 'read', i * 1_000 + 900)
+      scheduler.record(request.id, 'ended', i * 1_000 + 950)
+    }
+    const [first, second] = [createRequest({ objectiveMs: 20_000 }), createRequest({ objectiveMs: 20_000 })]
+    const placed = scheduler.request(first, 10_000) as { readMs: number }
+    expect(scheduler.getEstimates(10_000).maxSlowdown).toBeGreaterThan(2)
+    expect((scheduler.request(second, 10_000) as { waitMs: number }).waitMs).toBeCloseTo(placed.readMs)
+  })
 })
