Write the comparison of tracked calls as a warning

In a play with all decisions logged only five of the lines came out: the limit of 200 lines a second for informational lines is used up by the decisions. Warnings have a limit of their own.

--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -208,11 +208,12 @@
     return router
   }
 
+  /** Writes a warning, because the lines about decisions use up the rate of other lines. */
   #logTracking (): void {
     if (!this.#options.isLeader()) return
     const { worst, maxSlowdown, ...tracking } = this.getTracking()
     const rounded = Object.fromEntries(Object.entries(tracking).map(([name, value]) => [name, Math.round(value)]))
-    this.#options.logger.info('Tracked calls were compared with load reports.', { ...rounded, maxSlowdown: Number(maxSlowdown.toFixed(2)), routers: this.#routers.size, worst })
+    this.#options.logger.warn('Tracked calls were compared with load reports.', { ...rounded, maxSlowdown: Number(maxSlowdown.toFixed(2)), routers: this.#routers.size, worst })
   }
 
   #removeCallsOfSilentRouters (): void {
