Admit prompts by the client accounts' max-min fair shares

Cause: admission did not look at use. A prompt was placed wherever its first event was predicted in time, so the short cached prompts of a heavy account took each gap in an engine's queue up to the objective, and the longer prompts of the others fitted nowhere and were refused after 200 ms, again and again.

Change: AccountShares keeps demand and service of each account in the users' tokens and computes the max-min fair share by progressive filling. The nearer an account comes to 1.5 times its share, the less of an engine's queue (down to 0.3) and slots (0.9) its prompts may use, so that others find room while the engine still has work. A prompt of an account that has less than 0.7 of its due is placed even if it is late.

Two tests of reservations began with a request that had to wait although its account had got nothing. It is placed at once now, which is stricter for the account; the tests serve the account first, so that it waits, and keep their assertions. In the first one six more prompts end their prefill before the last assertion, because the other account may no longer fill the whole queue.

The new tests of PromptScheduler fail with the code before.

--- a/src/routing/AccountTraffic/index.ts
+++ b/src/routing/AccountTraffic/index.ts
@@ -1,6 +1,5 @@
 import type { PlacementRequest } from '../../contract/PlacementRequest'
 import type { PlacementVerdict } from '../../contract/PlacementVerdict'
-import { computeCallCost } from '../computeCallCost'
 import { computeCallTokens } from '../computeCallTokens'
 
 /** Figures of an account over the window. */
@@ -10,8 +9,6 @@
   placedTokens: number
   refusedTokens: number
   refusedCalls: number
-  /** Estimated engine time of the placed calls, which the scheduler charges to the account. */
-  engineMs: number
   /** Placed tokens, divided by what the account asked or the best served account got, whichever is less each second. */
   share: number
 }
@@ -21,11 +18,10 @@
   placed: number
   refused: number
   refusedCalls: number
-  engineMs: number
 }
 
 type Request = Pick<PlacementRequest, 'account' | 'promptTokens' | 'outputTokens'>
-type Verdict = { type: 'place', readMs: number } | { type: Exclude<PlacementVerdict['type'], 'place'> }
+type Verdict = Pick<PlacementVerdict, 'type'>
 
 /** The users measure the shares of accounts over this time. */
 const WINDOW_S = 6
@@ -58,7 +54,6 @@
     const second = this.#getSecond(request.account, nowMs)
     if (verdict.type === 'place') {
       second.placed += computeCallTokens(request)
-      second.engineMs += computeCallCost({ ...request, readMs: verdict.readMs })
     } else if (verdict.type === 'refuse') {
       second.refused += computeCallTokens(request)
       second.refusedCalls++
@@ -78,7 +73,7 @@
     const best = windows.reduce((most, next) => next.placedTokens > most.placedTokens ? next : most).window
     return windows.map(({ account, window, placedTokens }) => {
       const due = window.reduce((sum, { asked }, i) => sum + Math.min(asked, best[i].placed), 0)
-      return { account, askedTokens: computeSum(window, 'asked'), placedTokens, refusedTokens: computeSum(window, 'refused'), refusedCalls: computeSum(window, 'refusedCalls'), engineMs: Math.round(computeSum(window, 'engineMs')), share: due > 0 ? placedTokens / due : 1 }
+      return { account, askedTokens: computeSum(window, 'asked'), placedTokens, refusedTokens: computeSum(window, 'refused'), refusedCalls: computeSum(window, 'refusedCalls'), share: due > 0 ? placedTokens / due : 1 }
     }).sort((a, b) => a.share - b.share)
   }
 
@@ -104,7 +99,7 @@
 }
 
 function createSecond (): Second {
-  return { asked: 0, placed: 0, refused: 0, refusedCalls: 0, engineMs: 0 }
+  return { asked: 0, placed: 0, refused: 0, refusedCalls: 0 }
 }
 
 function computeSum (window: readonly Second[], field: keyof Second): number {
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -4,8 +4,8 @@
 import type { RunningPlacement } from '../../contract/RunningPlacement'
 import type { TargetEntry } from '../../contract/TargetEntry'
 import { CircuitBreaker } from '../../target/CircuitBreaker'
-import { AccountUsage } from '../AccountUsage'
-import { computeCallCost } from '../computeCallCost'
+import { AccountShares } from '../AccountShares'
+import { computeCallTokens } from '../computeCallTokens'
 import type { CrashMonitor } from '../CrashMonitor'
 import { EngineReservations } from '../EngineReservations'
 import { EngineState } from '../EngineState'
@@ -14,6 +14,7 @@
 import type { TrackedCall } from '../TrackedCall'
 import type { Candidate } from './_lib/Candidate'
 import { chooseBest } from './_lib/chooseBest'
+import { computeAdmissionLimits } from './_lib/computeAdmissionLimits'
 
 interface WaitingRequest {
   request: PlacementRequest
@@ -47,8 +48,6 @@
 const ENGINES_PER_LARGE_PROMPT = 8
 /** Maximum estimated wait of such a large prompt. */
 const LARGE_PROMPT_MAX_WAIT_MS = 100
-/** Part of the time to the first event that every engine needs: transport, batching and the first token itself. */
-const FIRST_EVENT_OVERHEAD_MS = 120
 /**
  * A prompt may be placed at the first targets in the rendezvous order of its key part, this many, and at every other
  * target that has cached the key part. All schedulers compute the same order.
@@ -77,9 +76,10 @@
  * becomes hot. A prompt is placed only where its first event is predicted to be on time, given the outstanding prefill
  * work of each engine, so that engines never build up a backlog in which every request is late. Exceptions: an engine
  * without outstanding prefill takes a prompt of any size, and a limited number of large prompts wait for a short
- * outstanding prefill. Waiting requests of the client account with the least recent use go first, and the next free
- * capacity of an engine is reserved for them. Prompts are placed at engines that have cached their shared parts (cache
- * affinity). The class does no I/O and reads no clock; times are milliseconds of a monotonic clock.
+ * outstanding prefill. The nearer a client account comes to its fair share, the less of an engine's queue its prompts may
+ * use, and prompts of an account that is short of its share are placed even if they are late. Waiting requests of the
+ * account with the least recent service go first, and the next free capacity of an engine is reserved for them. Prompts
+ * are placed at engines that have cached their shared parts (cache affinity). The class does no I/O and reads no clock; times are milliseconds of a monotonic clock.
  *
  * @param options - Memory of engines, share of the load, crash monitor, source of random numbers and start time.
  *
@@ -89,9 +89,10 @@
  * scheduler.request(request, nowMs) // { type: 'place', target: 'i-1', waitMs: 0, readMs: 80 }, or undefined while it waits
  */
 export class PromptScheduler {
+  /** Recent traffic of the client accounts, as far as this scheduler knows. */
+  readonly shares = new AccountShares()
   readonly #options: PromptSchedulerOptions
   readonly #hashing = new RendezvousOrder()
-  readonly #usage = new AccountUsage()
   readonly #slowdowns = new TargetSlowdowns()
   readonly #circuits = new CircuitBreaker()
   readonly #engines = new Map<string, EngineState>()
@@ -129,15 +130,16 @@
 
   /** Places or refuses a request. Returns undefined if the request has to wait; `step` then yields its verdict. */
   request (request: PlacementRequest, nowMs: number): PlacementVerdict | undefined {
+    this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
     const verdict = this.#chooseVerdict({ request, sinceMs: nowMs }, nowMs)
     if (!verdict) this.#waiting.set(request.id, { request, sinceMs: nowMs })
     return verdict
   }
 
-  /** Yields the verdicts on waiting requests, those of the account with the least recent use first. */
+  /** Yields the verdicts on waiting requests, those of the account with the least recent service first. */
   * step (nowMs: number): Generator<[id: string, PlacementVerdict]> {
-    const queue = [...this.#waiting.values()].map(waiting => ({ waiting, use: this.#usage.get(waiting.request.account, nowMs) }))
-    queue.sort((a, b) => a.use - b.use || a.waiting.sinceMs - b.waiting.sinceMs)
+    const queue = [...this.#waiting.values()].map(waiting => ({ waiting, service: this.shares.getStanding(waiting.request.account, nowMs).service }))
+    queue.sort((a, b) => a.service - b.service || a.waiting.sinceMs - b.waiting.sinceMs)
     this.#reservations.clear()
     for (const { waiting } of queue) {
       const verdict = this.#chooseVerdict(waiting, nowMs)
@@ -150,6 +152,7 @@
   /** Adds a running call that another scheduler placed. */
   accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number): void {
     if (this.#running.has(request.id)) return
+    this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
     this.#start(request, { target, readMs, estimatedMs: readMs, isRead, isAdopted: true }, nowMs)
     if (isRead) this.#recordRead(this.#running.get(request.id)!, nowMs)
   }
@@ -199,15 +202,16 @@
     const candidates = this.#listCandidates(request, nowMs)
     if (candidates.length === 0) return { type: 'none' }
     const isLarge = Math.min(...candidates.map(({ nominalReadMs }) => nominalReadMs)) > LARGE_PROMPT_SHARE * request.objectiveMs
-    const limits = { remainingMs: request.objectiveMs - (nowMs - sinceMs) - FIRST_EVENT_OVERHEAD_MS, waitMs: isLarge && this.#isLargePromptAllowed() ? LARGE_PROMPT_MAX_WAIT_MS : 0 }
-    const use = this.#usage.get(request.account, nowMs)
-    const free = candidates.filter(({ target, engine }) => engine.running < target.slots * this.#options.getLoadShare() && this.#reservations.isAvailable(target.id, use))
+    const standing = this.shares.getStanding(request.account, nowMs)
+    const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && this.#isLargePromptAllowed() ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
+    const loadShare = this.#options.getLoadShare()
+    const free = candidates.filter(({ target, engine, waitMs }) => waitMs <= limits.queueMs && engine.running < target.slots * loadShare * limits.slotShare && this.#reservations.isAvailable(target.id, standing.service))
     const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)), { maxRank: AFFINITY_TARGETS })
     if (best && isLarge) this.#largePrefills.add(request.id)
     if (best) return this.#place(request, best, nowMs)
     if (nowMs - sinceMs < MAX_WAIT_MS) {
       const soonest = free.length > 0 ? findSoonest(free) : undefined
-      if (soonest && soonest.readMs <= MAX_RESERVATION_READ_MS) this.#reservations.add(soonest.target.id, use)
+      if (soonest && soonest.readMs <= MAX_RESERVATION_READ_MS) this.#reservations.add(soonest.target.id, standing.service)
       return undefined
     }
     const { waitMs, readMs } = findSoonest(candidates)
@@ -228,7 +232,7 @@
   #start (request: PlacementRequest, { target, readMs, estimatedMs, isRead, isAdopted }: Omit<RunningCall, 'request' | 'startedMs'>, nowMs: number): void {
     this.#options.crashMonitor.start(request, { target, isRead }, nowMs)
     this.#running.set(request.id, { request, target, readMs, isRead: false, isAdopted, startedMs: nowMs, estimatedMs })
-    this.#usage.charge(request.account, computeCallCost({ ...request, readMs }), nowMs)
+    this.shares.recordService(request.account, computeCallTokens(request), nowMs)
     const entry = this.#targets.find(({ id }) => id === target)
     if (entry) this.#getEngine(entry).start({ id: request.id, parts: request.parts, readMs }, nowMs)
   }
@@ -273,9 +277,9 @@
   }
 }
 
-/** Whether the prefill is predicted to end on time, or the wait is within the limit for late prompts (0 for most). */
-function isAdmissible ({ waitMs, readMs }: Candidate, limits: { remainingMs: number, waitMs: number }): boolean {
-  return waitMs + readMs <= limits.remainingMs || waitMs <= limits.waitMs
+/** Whether the prefill is predicted to end in time, or the wait is within the limit for late prompts (0 for most). */
+function isAdmissible ({ waitMs, readMs }: Candidate, limits: { remainingMs: number, lateWaitMs: number }): boolean {
+  return waitMs + readMs <= limits.remainingMs || waitMs <= limits.lateWaitMs
 }
 
 /** The candidate whose prefill is predicted to end first. */
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -23,6 +23,14 @@
   const id = String(nextId++)
   return { id, account: 'a', service: 's', zone: 'z', parts: [{ id: shared, tokens: sharedTokens }, { id: `own${id}`, tokens: ownTokens }], promptTokens: sharedTokens + ownTokens, outputTokens: 100, objectiveMs: 600, excluded: [], ...rest }
 }
+/** Serves an account so much that it is not short of its share when its next request of this size arrives. */
+const serve = (scheduler: PromptScheduler, changes: Parameters<typeof createRequest>[0]) => {
+  for (let i = 0; i < 3; i++) {
+    const request = createRequest(changes)
+    scheduler.request(request, 0)
+    scheduler.record(request.id, 'ended', 0)
+  }
+}
 const getTarget = (verdict: PlacementVerdict | undefined) => verdict?.type === 'place' ? verdict.target : verdict?.type
 
 describe('PromptScheduler', () => {
@@ -84,7 +92,7 @@
   })
 
   // Load pattern: one account sends many times its usual load. Its requests must not displace those of the others.
-  it('places the request of the account with the least recent use first', () => {
+  it('places the request of the account with the least recent service first', () => {
     const scheduler = createScheduler([createTarget('t1', { slots: 1 })])
     const running = createRequest({ account: 'hot' })
     scheduler.request(running, 0)
@@ -97,10 +105,33 @@
     expect([...scheduler.step(61)].map(([id]) => id)).toEqual([small.id])
   })
 
+  // Load pattern: one account fills up all engines. A prompt of another account that fits nowhere in time was refused at
+  // each attempt, so that the account got none of its share.
+  it('places a prompt of an account that is short of its share although it is predicted to be late', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    for (let i = 0; i < 40; i++) scheduler.request(createRequest({ account: 'hot', shared: 'h', ownTokens: 1_500 }), 0)
+    const short = createRequest({ account: 'rare', shared: 'other', ownTokens: 10_000 })
+    expect(getTarget(scheduler.request(short, 1))).toBe('t1')
+    // From then on its share is covered, and it waits like others.
+    expect(scheduler.request(createRequest({ account: 'rare', shared: 'other', ownTokens: 3_000 }), 2)).toBeUndefined()
+  })
+
+  // Load pattern: one account sends many times its share in short prompts, which fill each gap in the queue of an engine
+  // up to the objective, so that the longer prompts of the others fit nowhere.
+  it('leaves room in the queues of engines to the accounts within their share', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    serve(scheduler, { account: 'b', shared: 'other', sharedTokens: 4_000, ownTokens: 6_000 })
+    for (let i = 0; i < 60; i++) scheduler.request(createRequest({ account: 'hot', shared: 'h', sharedTokens: 1_000, ownTokens: 1_000 }), 0)
+    const verdict = scheduler.request(createRequest({ account: 'b', shared: 'other', sharedTokens: 4_000, ownTokens: 4_000 }), 1)
+    expect(verdict).toMatchObject({ type: 'place' })
+    expect(verdict?.type === 'place' && verdict.waitMs + verdict.readMs).toBeLessThan(480)
+  })
+
   // Load pattern: two hot accounts, one with many small prompts. Without a reservation, new arrivals take up each bit of
   // free capacity, and the waiting account gets none.
-  it('reserves the next free capacity of an engine for a waiting request of an account with less recent use, ahead of later requests of other accounts', () => {
+  it('reserves the next free capacity of an engine for a waiting request of an account with less recent service, ahead of later requests of other accounts', () => {
     const scheduler = createScheduler([createTarget('t1')])
+    serve(scheduler, { account: 'rare', shared: 'other', sharedTokens: 4_000, ownTokens: 6_000 })
     const hot = Array.from({ length: 40 }, () => createRequest({ account: 'hot', shared: 'h', ownTokens: 1_500 }))
     const placed = hot.filter(request => scheduler.request(request, 0)?.type === 'place')
     const rare = createRequest({ account: 'rare', shared: 'other', sharedTokens: 4_000, ownTokens: 6_000 })
@@ -115,12 +146,14 @@
     }
     expect(scheduler.listRunning().some(({ request }) => request.id === rare.id)).toBe(true)
     expect(nowMs).toBeLessThanOrEqual(200)
+    for (const { id } of placed.slice(-6)) scheduler.record(id, 'read', nowMs)
     expect(getTarget(scheduler.request(createRequest({ account: 'hot', shared: 'h', ownTokens: 100 }), nowMs))).toBeDefined()
   })
 
   // Guards against an engine that stays reserved after the caller with the reservation has left.
   it('releases the reservation of an engine when the waiting request has ended', () => {
     const scheduler = createScheduler([createTarget('t1')])
+    serve(scheduler, { account: 'rare', shared: 'other', sharedTokens: 4_000, ownTokens: 6_000 })
     const hot = Array.from({ length: 40 }, () => createRequest({ account: 'hot', shared: 'h', ownTokens: 1_500 }))
     const placed = hot.filter(request => scheduler.request(request, 0)?.type === 'place')
     const rare = createRequest({ account: 'rare', shared: 'other', sharedTokens: 4_000, ownTokens: 6_000 })
