Add a failing test of a leader that stalls

After a stall of more than a second the leader drops the calls of all routers, because its timer fires before it reads their load reports. The test fails with 0 calls counted where 3 run.

--- a/test/placementTracking.test.ts
+++ b/test/placementTracking.test.ts
@@ -124,6 +124,17 @@
     expect(network.running).toBe(2)
   })
 
+  // Guards against engines that look empty after a stall of the leader itself: it took all routers for lost and dropped all
+  // calls before it read the load reports that had arrived.
+  it('after the leader stalls for longer than a second', async () => {
+    for (const router of [0, 1, 2]) await start(router, '1')
+    for (const { links } of network.routers) links[0].pause()
+    await advance(1_500)
+    for (const { links } of network.routers) links[0].resume()
+    await expectSettled()
+    expect(network.running).toBe(3)
+  })
+
   // Guards against calls that a replica refuses to adopt because routers take it for the leader before it knows itself.
   it('after routers register at a replica that does not lead yet', async () => {
     for (const router of [0, 1]) await start(router, '1')
