--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -9,12 +9,12 @@
 import type { CrashMonitor } from '../CrashMonitor'
 import { EngineReservations } from '../EngineReservations'
 import { EngineState } from '../EngineState'
-import { RendezvousOrder } from '../RendezvousOrder'
 import { TargetSlowdowns } from '../TargetSlowdowns'
 import type { TrackedCall } from '../TrackedCall'
 import type { Candidate } from './_lib/Candidate'
 import { chooseBest } from './_lib/chooseBest'
 import { computeAdmissionLimits } from './_lib/computeAdmissionLimits'
+import { TargetRanking } from './_lib/TargetRanking'
 
 interface WaitingRequest {
   request: PlacementRequest
@@ -60,8 +60,6 @@
 const COLD_START_MS = 8_000
 /** Prompts with a longer prefill get no reservation: the engine would run empty although other requests could use it. */
 const MAX_RESERVATION_READ_MS = 200
-/** Bounds the memory of the cache of ranked targets, which is cleared when it is full. */
-const MAX_CACHED_RANKINGS = 4_096
 /** Refused callers are told to retry after this time plus a random part of the spread. */
 const RETRY_AFTER_S = 1.6
 const RETRY_AFTER_SPREAD_S = 0.8
@@ -92,7 +90,7 @@
   /** Recent traffic of the client accounts, as far as this scheduler knows. */
   readonly shares = new AccountShares()
   readonly #options: PromptSchedulerOptions
-  readonly #hashing = new RendezvousOrder()
+  readonly #ranking = new TargetRanking()
   readonly #slowdowns = new TargetSlowdowns()
   readonly #circuits = new CircuitBreaker()
   readonly #engines = new Map<string, EngineState>()
@@ -101,9 +99,6 @@
   readonly #largePrefills = new Set<string>()
   readonly #waiting = new Map<string, WaitingRequest>()
   readonly #running = new Map<string, RunningCall>()
-  /** Targets of a service by rank, per service and key; cleared when the targets change. */
-  readonly #rankedTargets = new Map<string, readonly TargetEntry[]>()
-  #targets: readonly TargetEntry[] = []
 
   constructor (options: PromptSchedulerOptions) {
     this.#options = options
@@ -118,8 +113,7 @@
   }
 
   setTargets (entries: readonly TargetEntry[]): void {
-    this.#targets = entries
-    this.#rankedTargets.clear()
+    this.#ranking.setTargets(entries)
     const ids = new Set(entries.map(({ id }) => id))
     for (const id of this.#engines.keys()) {
       if (ids.has(id)) continue
@@ -233,14 +227,14 @@
     this.#options.crashMonitor.start(request, { target, isRead }, nowMs)
     this.#running.set(request.id, { request, target, readMs, isRead: false, isAdopted, startedMs: nowMs, estimatedMs })
     this.shares.recordService(request.account, computeCallTokens(request), nowMs)
-    const entry = this.#targets.find(({ id }) => id === target)
+    const entry = this.#ranking.find(target)
     if (entry) this.#getEngine(entry).start({ id: request.id, parts: request.parts, readMs }, nowMs)
   }
 
   #listCandidates ({ service, zone, parts, promptTokens, excluded }: PlacementRequest, nowMs: number): Candidate[] {
     // Id of the key part. The last part is specific to the request or session; most requests share the part before it.
     const key = parts.length === 0 ? '' : parts[Math.max(0, parts.length - 2)].id
-    const eligible = this.#listByRank(service, key).filter(({ id }) => !excluded.includes(id))
+    const eligible = this.#ranking.list(service, key).filter(({ id }) => !excluded.includes(id))
     const healthy = eligible.filter(({ id }) => this.#circuits.isNotOpen(formatCircuit(id, zone), nowMs) && !this.#engines.get(id)?.isUnresponsive(nowMs))
     const targets = healthy.length > 0 ? healthy : eligible
     const share = this.#options.getLoadShare()
@@ -254,19 +248,6 @@
     })
   }
 
-  #listByRank (service: string, key: string): readonly TargetEntry[] {
-    const cacheKey = `${service} ${key}`
-    let ranked = this.#rankedTargets.get(cacheKey)
-    if (!ranked) {
-      const active = this.#targets.filter(entry => entry.service === service && !entry.isDraining)
-      const ranks = this.#hashing.computeRanks(key, active.map(({ id }) => id))
-      ranked = active.sort((a, b) => ranks.get(a.id)! - ranks.get(b.id)!)
-      if (this.#rankedTargets.size >= MAX_CACHED_RANKINGS) this.#rankedTargets.clear()
-      this.#rankedTargets.set(cacheKey, ranked)
-    }
-    return ranked
-  }
-
   #getEngine (target: TargetEntry): EngineState {
     let engine = this.#engines.get(target.id)
     if (!engine) {
