Reconcile the scheduler's copy of running calls with each load report

Cause: a call reached and left the leader's copy by events that were sent once. After a late reply a router forgot for 500 ms at which scheduler it was registered, and dropped the ends of all calls of that time; their prefill stayed outstanding for good. Requests that waited when their link closed were placed later and never ended. A replica that led again, a router that was silent for a second and a leader that stalled for a second lost calls that nobody reported again. Nothing compared the copy with the calls.

Change: each load report (every 250 ms) names all requests of the router that wait or run. The leader ends the others, and its reply names those that it does not know, which the router then reports. Events carry their own link. A router registers once at a link, and afterwards reports only calls that it placed by itself. After a stall the leader reads the reports that have arrived before it takes routers for lost. PlacementReporter holds the router's side.

In tests of the service the load reports name the calls that are expected to stay.

--- a/src/contract/LoadReport/index.ts
+++ b/src/contract/LoadReport/index.ts
@@ -3,8 +3,8 @@
 /**
  * @name LoadReport
  * @category Contract
- * @summary Message `reportLoad`: the running requests of one router by target, and whether it is overloaded. The reply is a
- * LoadSummary.
+ * @summary Message `reportLoad`: the running requests of one router by target, whether it is overloaded, and its placement
+ * requests. The reply is a LoadSummary.
  *
  * @example
  * LoadReport.parse({ targets: [['i-1', 3, 9000]] })
@@ -13,6 +13,8 @@
   /** Rows of target id, running requests and prompt tokens of those requests. */
   targets: z.array(z.tuple([z.string(), z.number(), z.number()])),
   /** Whether the router has more work than processor time, and asks to leave the rotation of the load balancer. */
-  isOverloaded: z.boolean().default(false)
+  isOverloaded: z.boolean().default(false),
+  /** Ids of all placement requests of the router that wait for a verdict or run. */
+  placements: z.array(z.string()).default([])
 })
 export type LoadReport = z.infer<typeof LoadReport>
--- a/src/contract/RunningPlacement/index.ts
+++ b/src/contract/RunningPlacement/index.ts
@@ -7,7 +7,7 @@
  * @summary A placed request that still runs; item of message `adoptPlacements`.
  *
  * @description
- * A router sends its running requests to a new scheduler.
+ * A router sends its running requests to a new scheduler, and those that the scheduler does not know.
  *
  * @example
  * RunningPlacement.parse({ request, target: 'i-1', readMs: 80, isRead: false })
--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -9,6 +9,7 @@
 import { PromptQuarantine } from '../../routing/PromptQuarantine'
 import { PromptScheduler } from '../../routing/PromptScheduler'
 import type { ComponentLogger } from '../../telemetry/ComponentLogger'
+import { PlacementReporter } from '../PlacementReporter'
 import { SuspectCopy } from '../SuspectCopy'
 
 type ProgressEvent = PlacementProgress[number][1]
@@ -55,13 +56,10 @@
   readonly #suspectCopy = new SuspectCopy(this.quarantine)
   readonly #localScheduler: PromptScheduler
   readonly #localQueue: PlacementQueue
-  /** Calls that a scheduler of the fleet tracks, with the link to it. */
-  readonly #linksByCall = new Map<string, Link>()
-  #progress: PlacementProgress = []
+  readonly #reporter = new PlacementReporter({ listRunning: () => this.#localScheduler.listRunning() })
   #registeredLink: Link | undefined
   #fallbackUntilMs = -Infinity
   #blockedCalls = 0
-  #unsentProgress = 0
 
   constructor (options: PlacementClientOptions) {
     this.#options = options
@@ -79,15 +77,21 @@
 
   /** Events of calls of a scheduler that could not be sent to it, because it was lost or did not reply. */
   get unsentProgress (): number {
-    return this.#unsentProgress
+    return this.#reporter.unsentProgress
   }
 
   countBlockedParts (): number {
     return this.quarantine.list(performance.now()).filter(({ blockedMs }) => blockedMs > 0).length
   }
 
-  /** Takes over the suspected prompt parts from the scheduler's reply to a load report. */
-  applySummary (summary: Pick<LoadSummary, 'suspects' | 'term'>, link: Link): void {
+  /** Ids of all placement requests that wait or run, for the load report. */
+  listRequests (): string[] {
+    return this.#reporter.listRequests()
+  }
+
+  /** Takes over the suspected prompt parts from the scheduler's reply to a load report, and reports calls it lacks. */
+  applySummary (summary: Pick<LoadSummary, 'suspects' | 'term' | 'unknownPlacements'>, link: Link): void {
+    this.#reporter.report(summary.unknownPlacements, link)
     this.#suspectCopy.apply(summary, { link, isDetached: this.#findLink() !== link }, performance.now())
   }
 
@@ -107,18 +111,20 @@
     if (!link) return this.#requestLocally(request)
     const refusal = this.#findRefusal(request, performance.now())
     if (refusal) return { verdict: refusal, scheduler: 'local' }
+    this.#reporter.start(request.id)
     try {
       const verdict = PlacementVerdict.parse(await link.request('requestPlacement', request, { timeoutMs: REPLY_TIMEOUT_MS }))
       const decided = { verdict, scheduler: link.peer.instance }
+      this.#reporter.settle(request.id)
       if (verdict.type !== 'place') return decided
-      this.#linksByCall.set(request.id, link)
+      this.#reporter.add(request.id, link)
       this.#localScheduler.accept({ request, target: verdict.target, readMs: verdict.readMs, isRead: false }, performance.now())
       return decided
     } catch (error) {
       this.#options.logger.warn('The scheduler did not reply; this router decides by itself.', { scheduler: link.peer.instance, requestId: request.id, reason: String(error) })
       this.#fallbackUntilMs = performance.now() + FALLBACK_MS
       this.#suspectCopy.detach()
-      this.#registeredLink = undefined
+      this.#reporter.settle(request.id)
       // If the scheduler has placed the call although no valid reply arrived, this report ends the call there.
       link.send('reportProgress', [[request.id, 'ended']] satisfies PlacementProgress)
       return await this.#requestLocally(request)
@@ -128,15 +134,7 @@
   /** Records the progress of a call and reports it to the scheduler that tracks the call. */
   record (id: string, event: ProgressEvent): void {
     this.#localQueue.record(id, event)
-    const link = this.#linksByCall.get(id)
-    if (event !== 'read') this.#linksByCall.delete(id)
-    if (!link) return
-    if (link.isClosed) {
-      this.#unsentProgress++
-      return
-    }
-    if (this.#progress.length === 0) setImmediate(() => this.#sendProgress())
-    this.#progress.push([id, event])
+    this.#reporter.record(id, event)
   }
 
   close (): void {
@@ -150,34 +148,24 @@
   }
 
   async #requestLocally (request: PlacementRequest): Promise<{ verdict: PlacementVerdict, scheduler: string }> {
-    return { verdict: await this.#localQueue.request(request), scheduler: 'local' }
+    const verdict = await this.#localQueue.request(request)
+    if (verdict.type === 'place') this.#reporter.add(request.id, undefined)
+    return { verdict, scheduler: 'local' }
   }
 
   #findLink (): Link | undefined {
     if (performance.now() < this.#fallbackUntilMs) return undefined
     const link = this.#options.getLink()
-    if (link && link !== this.#registeredLink) this.#registerAt(link)
+    if (link) this.#registerAt(link)
     return link
   }
 
-  /** Reports the running calls of this router, and the prompt parts that it suspects, to a new scheduler. */
+  /** Reports the calls that the scheduler does not know, and to a new one also the prompt parts that this router suspects. */
   #registerAt (link: Link): void {
+    const reported = this.#reporter.register(link)
+    if (link === this.#registeredLink) return
     this.#registeredLink = link
-    const running = this.#localScheduler.listRunning()
-    link.send('adoptPlacements', running)
     this.#suspectCopy.send(link, performance.now())
-    for (const { request } of running) this.#linksByCall.set(request.id, link)
-    this.#options.logger.info('A scheduler was found.', { scheduler: link.peer.instance, running: running.length })
-  }
-
-  #sendProgress (): void {
-    const byLink = new Map<Link, PlacementProgress>()
-    for (const entry of this.#progress) {
-      const link = this.#linksByCall.get(entry[0]) ?? this.#registeredLink
-      if (link && !link.isClosed) byLink.set(link, [...byLink.get(link) ?? [], entry])
-      else this.#unsentProgress++
-    }
-    this.#progress = []
-    for (const [link, progress] of byLink) link.send('reportProgress', progress)
+    this.#options.logger.info('A scheduler was found.', { scheduler: link.peer.instance, running: reported })
   }
 }
--- /dev/null
+++ b/src/gateway/PlacementReporter/index.ts
@@ -0,0 +1,109 @@
+import type { PlacementProgress } from '../../contract/PlacementProgress'
+import type { RunningPlacement } from '../../contract/RunningPlacement'
+import type { Link } from '../../link/Link'
+
+type ProgressEvent = PlacementProgress[number][1]
+
+interface PendingProgress {
+  id: string
+  event: ProgressEvent
+  link: Link
+}
+
+/**
+ * @name PlacementReporter
+ * @category Gateway
+ * @summary Reports the placement requests of this router to the scheduler of the fleet, and repairs its copy of them.
+ *
+ * @description
+ * Events are sent once to the scheduler that knows the call, and may be lost with its link or term. Each load report
+ * therefore names all requests of this router: the scheduler ends all others, and asks for those that it does not know.
+ *
+ * @param options - Lists the placed calls that have not ended.
+ *
+ * @example
+ * reporter.add('7', link)
+ * reporter.record('7', 'read')
+ * reporter.listRequests() // ['7']
+ */
+export class PlacementReporter {
+  readonly #listRunning: () => RunningPlacement[]
+  /** Requests that wait for the verdict of a scheduler. */
+  readonly #waiting = new Set<string>()
+  /** Link to the scheduler that knows each call; undefined for calls that this router placed by itself. */
+  readonly #links = new Map<string, Link | undefined>()
+  #registeredLink: Link | undefined
+  #progress: PendingProgress[] = []
+  #unsentProgress = 0
+
+  constructor ({ listRunning }: { listRunning: () => RunningPlacement[] }) {
+    this.#listRunning = listRunning
+  }
+
+  /** Events that could not be sent, because the link to the scheduler had closed. */
+  get unsentProgress (): number {
+    return this.#unsentProgress
+  }
+
+  /** Records that a request is sent to a scheduler. */
+  start (id: string): void {
+    this.#waiting.add(id)
+  }
+
+  /** Records that no verdict on a request is awaited any longer. */
+  settle (id: string): void {
+    this.#waiting.delete(id)
+  }
+
+  /** Adds a placed call with the link to the scheduler that placed it; undefined if this router did. */
+  add (id: string, link: Link | undefined): void {
+    this.#links.set(id, link)
+  }
+
+  /** Reports the progress of a call to the scheduler that knows it. */
+  record (id: string, event: ProgressEvent): void {
+    const link = this.#links.get(id)
+    if (event !== 'read') this.#links.delete(id)
+    if (!link) return
+    if (this.#progress.length === 0) setImmediate(() => this.#sendProgress())
+    this.#progress.push({ id, event, link })
+  }
+
+  /** Reports all calls to a new scheduler, or those that it did not place. Returns their number. */
+  register (link: Link): number {
+    const isKnown = link === this.#registeredLink
+    this.#registeredLink = link
+    const unknown = isKnown ? [...this.#links].flatMap(([id, known]) => known ? [] : [id]) : [...this.#links.keys()]
+    if (isKnown && unknown.length === 0) return 0
+    return this.#sendCalls(unknown, link)
+  }
+
+  /** Reports calls that the scheduler does not know, as far as they still run. */
+  report (unknownIds: readonly string[], link: Link): void {
+    if (unknownIds.some(id => this.#links.has(id))) this.#sendCalls(unknownIds, link)
+  }
+
+  /** Lists the ids of all requests that wait or run. Events before the list are sent before it. */
+  listRequests (): string[] {
+    this.#sendProgress()
+    return [...this.#waiting, ...this.#links.keys()]
+  }
+
+  #sendCalls (ids: readonly string[], link: Link): number {
+    const wanted = new Set(ids)
+    const running = wanted.size === 0 ? [] : this.#listRunning().filter(({ request }) => wanted.has(request.id))
+    link.send('adoptPlacements', running)
+    for (const { request } of running) this.#links.set(request.id, link)
+    return running.length
+  }
+
+  #sendProgress (): void {
+    const byLink = new Map<Link, PlacementProgress>()
+    for (const { id, event, link } of this.#progress) {
+      if (link.isClosed) this.#unsentProgress++
+      else byLink.set(link, [...byLink.get(link) ?? [], [id, event]])
+    }
+    this.#progress = []
+    for (const [link, progress] of byLink) link.send('reportProgress', progress)
+  }
+}
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -35,12 +35,15 @@
   heardAtMs: number
   /** Requests at engines in the newest load report. */
   reported: number
+  /** Ids, without the prefix, of the router's requests that wait or run. */
+  requests: Set<string>
 }
 
 type Tracking = ReturnType<typeof computeTrackingStatistics> & ReturnType<typeof compareCallCounts> & ReturnType<PromptScheduler['getEstimates']>
 
 const AdoptedPlacements = z.array(RunningPlacement)
 const AdoptedSuspects = z.array(SuspectPart)
+const NO_REQUESTS: ReadonlySet<string> = new Set()
 const CHECK_INTERVAL_MS = 250
 const TRACKING_LOG_INTERVAL_MS = 1_000
 /**
@@ -56,7 +59,8 @@
 
 /**
  * Runs the prompt scheduler of the fleet at the leader of the registry. Its state is soft: routers report their running
- * calls and the suspected prompt parts to a new leader, and the calls of a router are removed when its link closes.
+ * calls and the suspected prompt parts to a new leader, and the calls of a router end when its link closes. Each load report
+ * names the requests of its router, which repairs what lost messages and changes of the leader leave behind.
  */
 export class PlacementService {
   /** Prompt parts under which targets crashed. */
@@ -72,11 +76,12 @@
   readonly #verdicts = { place: 0, refuse: 0, blocked: 0, none: 0 }
   #targets: readonly TargetEntry[] = []
   #nextRouterNumber = 1
+  #checkedAtMs = performance.now()
   #suspects: { list: SuspectPart[], atMs: number } = { list: [], atMs: -Infinity }
 
   constructor (options: PlacementServiceOptions) {
     this.#options = options
-    this.#timer = setInterval(() => this.#removeCallsOfSilentRouters(), CHECK_INTERVAL_MS)
+    this.#timer = setInterval(() => this.#removeRequestsOfSilentRouters(), CHECK_INTERVAL_MS)
     this.#trafficTimer = setInterval(() => this.#logTraffic(), TRAFFIC_LOG_INTERVAL_MS)
     this.#trackingTimer = setInterval(() => this.#logTracking(), TRACKING_LOG_INTERVAL_MS)
     this.reset()
@@ -86,12 +91,16 @@
     return new Map<string, MessageHandler>([
       ['requestPlacement', (body, link) => this.#place(PlacementRequest.parse(body), link)],
       ['reportProgress', (body, link) => {
-        const { idPrefix } = this.#getRouter(link)
-        for (const [id, event] of PlacementProgress.parse(body)) this.#queue.record(idPrefix + id, event)
+        const { idPrefix, requests } = this.#getRouter(link)
+        for (const [id, event] of PlacementProgress.parse(body)) {
+          this.#queue.record(idPrefix + id, event)
+          if (event !== 'read') requests.delete(id)
+        }
       }],
       ['adoptPlacements', (body, link) => {
         for (const placement of AdoptedPlacements.parse(body)) {
           this.#scheduler.accept({ ...placement, request: this.#createGlobalRequest(placement.request, link) }, performance.now())
+          this.#getRouter(link).requests.add(placement.request.id)
         }
       }],
       ['adoptSuspects', (body, link) => this.#acceptSuspects(AdoptedSuspects.parse(body), link)]
@@ -166,14 +175,20 @@
     this.#scheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1, crashMonitor, random: Math.random, startedMs: performance.now() })
     this.#scheduler.setTargets(this.#targets)
     this.#queue = new PlacementQueue(this.#scheduler)
+    for (const { requests } of this.#routers.values()) requests.clear()
   }
 
-  /** Records that a router is alive, and how many requests it runs at engines. */
-  observeRouter (link: Link, report: Pick<LoadReport, 'targets'>): void {
+  /**
+   * Records that a router is alive, and ends the requests that it does not name. Returns the ids of those that it names
+   * and the scheduler does not know.
+   */
+  observeRouter (link: Link, report: Pick<LoadReport, 'targets' | 'placements'>): string[] {
     const router = this.#getRouter(link)
     router.heardAtMs = performance.now()
+    this.#removeRequests(router, new Set(report.placements))
     const engines = new Set(this.#targets.filter(({ service }) => this.#options.getMemoryTokens(service) !== undefined).map(({ id }) => id))
     router.reported = report.targets.reduce((sum, [target, running]) => engines.has(target) ? sum + running : sum, 0)
+    return report.placements.filter(id => !router.requests.has(id))
   }
 
   close (): void {
@@ -186,8 +201,11 @@
   async #place (request: PlacementRequest, link: Link): Promise<PlacementVerdict> {
     const startedAtMs = performance.now()
     const globalRequest = this.#createGlobalRequest(request, link)
+    const { requests } = this.#getRouter(link)
+    requests.add(request.id)
     this.#traffic.recordRequest(request, startedAtMs)
     const verdict = await this.#queue.request(globalRequest)
+    if (verdict.type !== 'place') requests.delete(request.id)
     this.#traffic.recordVerdict(request, verdict, performance.now())
     const { callId: requestId, account, objectiveMs } = request
     this.#verdicts[verdict.type]++
@@ -231,11 +249,11 @@
   #getRouter (link: Link): RouterState {
     const known = this.#routers.get(link)
     if (known) return known
-    const router = { idPrefix: `${this.#nextRouterNumber++}:`, heardAtMs: performance.now(), reported: 0 }
+    const router = { idPrefix: `${this.#nextRouterNumber++}:`, heardAtMs: performance.now(), reported: 0, requests: new Set<string>() }
     this.#routers.set(link, router)
     link.onClose(() => {
       this.#routers.delete(link)
-      this.#removeCalls(router.idPrefix)
+      this.#removeRequests(router, NO_REQUESTS)
     })
     return router
   }
@@ -248,13 +266,22 @@
     this.#options.logger.warn('Tracked calls were compared with load reports.', { ...rounded, maxSlowdown: Number(maxSlowdown.toFixed(2)), routers: this.#routers.size, worst })
   }
 
-  #removeCallsOfSilentRouters (): void {
-    const sinceMs = performance.now() - ROUTER_TIMEOUT_MS
-    for (const { idPrefix, heardAtMs } of this.#routers.values()) if (heardAtMs < sinceMs) this.#removeCalls(idPrefix)
+  #removeRequestsOfSilentRouters (): void {
+    const nowMs = performance.now()
+    // After a stall of this process its timers run before it reads the reports that have arrived meanwhile.
+    const isLate = nowMs - this.#checkedAtMs > 2 * CHECK_INTERVAL_MS
+    this.#checkedAtMs = nowMs
+    if (isLate) return
+    for (const router of this.#routers.values()) if (nowMs - router.heardAtMs > ROUTER_TIMEOUT_MS) this.#removeRequests(router, NO_REQUESTS)
   }
 
-  #removeCalls (idPrefix: string): void {
-    for (const { request } of this.#scheduler.listRunning()) if (request.id.startsWith(idPrefix)) this.#queue.record(request.id, 'ended')
+  /** Ends the requests of a router, waiting or running, except those with the given ids. */
+  #removeRequests ({ idPrefix, requests }: RouterState, exceptIds: ReadonlySet<string>): void {
+    for (const id of requests) {
+      if (exceptIds.has(id)) continue
+      requests.delete(id)
+      this.#queue.record(idPrefix + id, 'ended')
+    }
   }
 }
 
--- a/src/instance/_lib/PlacementService/test.ts
+++ b/src/instance/_lib/PlacementService/test.ts
@@ -50,7 +50,7 @@
   it('logs once a second which accounts were refused and which were served, while calls are refused', async () => {
     const { service, request, lines } = createService()
     const { link } = createLink()
-    const stop = setInterval(() => service.observeRouter(link, { targets: [] }), 100)
+    const stop = setInterval(() => service.observeRouter(link, { targets: [], placements: ['1', '2'] }), 100)
     await request(link, '1')
     const refused = request(link, '2')
     await jest.advanceTimersByTimeAsync(2_000)
@@ -72,7 +72,7 @@
     await request(busy.link, '1')
     for (let i = 0; i < 6; i++) {
       jest.advanceTimersByTime(250)
-      service.observeRouter(busy.link, { targets: [] })
+      service.observeRouter(busy.link, { targets: [], placements: ['1'] })
     }
     const waiting = request(other.link, '1')
     jest.advanceTimersByTime(300)
@@ -90,7 +90,7 @@
     lines.length = 0
     for (let i = 0; i < 4; i++) {
       jest.advanceTimersByTime(250)
-      service.observeRouter(link, { targets: [['t2', 1, 100]] })
+      service.observeRouter(link, { targets: [['t2', 1, 100]], placements: ['1', '9'] })
     }
     expect(lines).toEqual([expect.objectContaining({ placed: 1, adopted: 1, unread: 1, oldestMs: 1_000, tracked: 2, reported: 1, surplus: 1, missing: 0, worst: { router: 'edge-1', tracked: 2, reported: 1 } })])
     expect(service.getTracking()).toMatchObject({ placed: 1, adopted: 1, surplus: 1, missing: 0, maxSlowdown: 1 })
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -201,7 +201,7 @@
     logger,
     onDocument,
     onTargets,
-    createReport: () => ({ targets: loads.createReport(), isOverloaded: monitor.isOverloaded }),
+    createReport: () => ({ targets: loads.createReport(), isOverloaded: monitor.isOverloaded, placements: placements.listRequests() }),
     onSummary: (summary, link) => {
       placements.applySummary(summary, link)
       loads.setPeerLoads(summary, performance.now())
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -117,10 +117,10 @@
       if (!isLeader()) throw new AppError('not-leader', 'This replica is not the leader, so it does not merge load reports.')
       const { instance, zone } = link.peer
       const report = LoadReport.parse(body)
-      placement.observeRouter(link, report)
+      const unknownPlacements = placement.observeRouter(link, report)
       loads.record(instance, report, performance.now())
       const mayLeaveRotation = permits.observe({ router: instance, zone, isOverloaded: report.isOverloaded }, performance.now())
-      return { ...loads.computeSummary(instance, performance.now()), mayLeaveRotation, suspects: [...placement.getSuspects()], term: getStatus(logs).term } satisfies LoadSummary
+      return { ...loads.computeSummary(instance, performance.now()), mayLeaveRotation, suspects: [...placement.getSuspects()], term: getStatus(logs).term, unknownPlacements } satisfies LoadSummary
     }]
   ])
   // This incarnation identifies the process; the incarnation of its disk is part of the replica id.
--- a/test/_lib/PlacementNetwork/index.ts
+++ b/test/_lib/PlacementNetwork/index.ts
@@ -72,8 +72,8 @@
       ...this.services[replica].handlers,
       ['reportLoad', (body, link) => {
         if (this.leader !== replica) throw new AppError('not-leader', 'This replica is not the leader.')
-        this.services[replica].observeRouter(link, LoadReport.parse(body))
-        return { routers: this.routers.length, targets: [], mayLeaveRotation: false, suspects: [], term: this.#term } satisfies LoadSummary
+        const unknownPlacements = this.services[replica].observeRouter(link, LoadReport.parse(body))
+        return { routers: this.routers.length, targets: [], mayLeaveRotation: false, suspects: [], term: this.#term, unknownPlacements } satisfies LoadSummary
       }]
     ])
     return new MemoryLink(handlers, { router, replica: `c${replica}` })
@@ -121,7 +121,7 @@
   async #reportLoad (router: Router): Promise<void> {
     if (router.leader === undefined) return
     const { near } = router.links[router.leader]
-    const summary = await near.request('reportLoad', { targets: this.#loads.get(router)!.createReport(), isOverloaded: false }, { timeoutMs: 1_000 }) as LoadSummary
+    const summary = await near.request('reportLoad', { targets: this.#loads.get(router)!.createReport(), isOverloaded: false, placements: router.placements.listRequests() }, { timeoutMs: 1_000 }) as LoadSummary
     router.placements.applySummary(summary, near)
   }
 }
