Count calls that run at an engine before it is listed or while it leaves the list

Callers saw: late first events and broken streams at engines that got more calls than they have slots, after a change of leader or while an engine leaves the list of targets and returns.

Cause: the state of an engine was created empty. Calls that were adopted before a new leader had read the list, or that ran when the engine left it, were missing there, and their ends were subtracted from the new state.

Change: the state of an engine begins with the running calls at its target.

--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -225,10 +225,11 @@
 
   #start (request: PlacementRequest, { target, readMs, estimatedMs, isRead, isAdopted }: Omit<RunningCall, 'request' | 'startedMs'>, nowMs: number): void {
     this.#options.crashMonitor.start(request, { target, isRead }, nowMs)
+    const entry = this.#ranking.find(target)
+    const engine = entry && this.#getEngine(entry)
     this.#running.set(request.id, { request, target, readMs, isRead: false, isAdopted, startedMs: nowMs, estimatedMs })
     this.shares.recordService(request.account, computeCallTokens(request), nowMs)
-    const entry = this.#ranking.find(target)
-    if (entry) this.#getEngine(entry).start({ id: request.id, parts: request.parts, readMs }, nowMs)
+    engine?.start({ id: request.id, parts: request.parts, readMs }, nowMs)
   }
 
   #listCandidates ({ service, zone, parts, promptTokens, excluded }: PlacementRequest, nowMs: number): Candidate[] {
@@ -251,11 +252,22 @@
   #getEngine (target: TargetEntry): EngineState {
     let engine = this.#engines.get(target.id)
     if (!engine) {
-      engine = new EngineState(this.#options.getMemoryTokens(target.service) ?? Infinity)
+      engine = this.#createEngine(target)
       this.#engines.set(target.id, engine)
     }
     return engine
   }
+
+  /** Calls may run at the engine already: it has returned to the list of targets, or was not listed when they were adopted. */
+  #createEngine (target: TargetEntry): EngineState {
+    const engine = new EngineState(this.#options.getMemoryTokens(target.service) ?? Infinity)
+    for (const { request: { id, parts }, target: runningAt, readMs, isRead, startedMs } of this.#running.values()) {
+      if (runningAt !== target.id) continue
+      engine.start({ id, parts, readMs }, startedMs)
+      if (isRead) engine.recordFirstEvent({ id, readMs }, startedMs)
+    }
+    return engine
+  }
 }
 
 /** Whether the prefill is predicted to end in time, or the wait is within the limit for late prompts (0 for most). */
