Measure the time to the first event at the router, and not for adopted calls

Callers saw: refusals for waits of seconds that were not real.

Cause: the scheduler compared its estimate with the time at which it got to read the event, so a stall of the leader made all engines look slow. The estimate of an adopted call had no wait for the prefills before it, so each one counted as late.

Change: a router sends the time since the placement with the event `read`.

The message test of PlacementClient expects the additional field.

--- a/src/contract/PlacementProgress/index.ts
+++ b/src/contract/PlacementProgress/index.ts
@@ -6,10 +6,11 @@
  * @summary One-way message `reportProgress` of a router to the scheduler: events of its placement requests.
  *
  * @description
- * Pairs of a request id, as in PlacementRequest, and an event. Every event except `read` ends the request.
+ * Rows of a request id, as in PlacementRequest, an event, and for `read` the milliseconds since the placement as measured by
+ * the router. Every event except `read` ends the request.
  *
  * @example
- * PlacementProgress.parse([['7', 'read'], ['6', 'ended']])
+ * PlacementProgress.parse([['7', 'read', 240], ['6', 'ended']])
  */
 export const PlacementProgress = z.array(z.tuple([z.string(), z.enum([
   /** The target has read the prompt and sent the first event. */
@@ -22,5 +23,5 @@
   'lost',
   /** The caller disconnected while the request waited for its placement. */
   'withdrawn'
-])]))
+]), z.number().nonnegative().optional()]))
 export type PlacementProgress = z.infer<typeof PlacementProgress>
--- a/src/gateway/PlacementClient/test.ts
+++ b/src/gateway/PlacementClient/test.ts
@@ -54,7 +54,7 @@
     client.record('1', 'ended')
     client.record('2', 'read')
     await new Promise(resolve => setImmediate(resolve))
-    expect(second.sent.slice(1)).toEqual([['reportProgress', [['1', 'ended'], ['2', 'read']]]])
+    expect(second.sent.slice(1)).toEqual([['reportProgress', [['1', 'ended'], ['2', 'read', expect.any(Number)]]]])
   })
 
   // Guards against ends of calls that are lost without a sign, so that the scheduler counts the calls forever.
--- a/src/gateway/PlacementReporter/index.ts
+++ b/src/gateway/PlacementReporter/index.ts
@@ -5,11 +5,16 @@
 type ProgressEvent = PlacementProgress[number][1]
 
 interface PendingProgress {
-  id: string
-  event: ProgressEvent
+  row: PlacementProgress[number]
   link: Link
 }
 
+interface PlacedCall {
+  /** Link to the scheduler that knows the call; undefined if this router placed it by itself. */
+  link: Link | undefined
+  placedAtMs: number
+}
+
 /**
  * @name PlacementReporter
  * @category Gateway
@@ -30,8 +35,7 @@
   readonly #listRunning: () => RunningPlacement[]
   /** Requests that wait for the verdict of a scheduler. */
   readonly #waiting = new Set<string>()
-  /** Link to the scheduler that knows each call; undefined for calls that this router placed by itself. */
-  readonly #links = new Map<string, Link | undefined>()
+  readonly #calls = new Map<string, PlacedCall>()
   #registeredLink: Link | undefined
   #progress: PendingProgress[] = []
   #unsentProgress = 0
@@ -57,51 +61,55 @@
 
   /** Adds a placed call with the link to the scheduler that placed it; undefined if this router did. */
   add (id: string, link: Link | undefined): void {
-    this.#links.set(id, link)
+    this.#calls.set(id, { link, placedAtMs: performance.now() })
   }
 
   /** Reports the progress of a call to the scheduler that knows it. */
   record (id: string, event: ProgressEvent): void {
-    const link = this.#links.get(id)
-    if (event !== 'read') this.#links.delete(id)
-    if (!link) return
+    const call = this.#calls.get(id)
+    if (event !== 'read') this.#calls.delete(id)
+    if (!call?.link) return
     if (this.#progress.length === 0) setImmediate(() => this.#sendProgress())
-    this.#progress.push({ id, event, link })
+    const row: PlacementProgress[number] = event === 'read' ? [id, event, performance.now() - call.placedAtMs] : [id, event]
+    this.#progress.push({ row, link: call.link })
   }
 
   /** Reports all calls to a new scheduler, or those that it did not place. Returns their number. */
   register (link: Link): number {
     const isKnown = link === this.#registeredLink
     this.#registeredLink = link
-    const unknown = isKnown ? [...this.#links].flatMap(([id, known]) => known ? [] : [id]) : [...this.#links.keys()]
+    const unknown = isKnown ? [...this.#calls].flatMap(([id, call]) => call.link ? [] : [id]) : [...this.#calls.keys()]
     if (isKnown && unknown.length === 0) return 0
     return this.#sendCalls(unknown, link)
   }
 
   /** Reports calls that the scheduler does not know, as far as they still run. */
   report (unknownIds: readonly string[], link: Link): void {
-    if (unknownIds.some(id => this.#links.has(id))) this.#sendCalls(unknownIds, link)
+    if (unknownIds.some(id => this.#calls.has(id))) this.#sendCalls(unknownIds, link)
   }
 
   /** Lists the ids of all requests that wait or run. Events before the list are sent before it. */
   listRequests (): string[] {
     this.#sendProgress()
-    return [...this.#waiting, ...this.#links.keys()]
+    return [...this.#waiting, ...this.#calls.keys()]
   }
 
   #sendCalls (ids: readonly string[], link: Link): number {
     const wanted = new Set(ids)
     const running = wanted.size === 0 ? [] : this.#listRunning().filter(({ request }) => wanted.has(request.id))
     link.send('adoptPlacements', running)
-    for (const { request } of running) this.#links.set(request.id, link)
+    for (const { request } of running) {
+      const call = this.#calls.get(request.id)
+      if (call) call.link = link
+    }
     return running.length
   }
 
   #sendProgress (): void {
     const byLink = new Map<Link, PlacementProgress>()
-    for (const { id, event, link } of this.#progress) {
+    for (const { row, link } of this.#progress) {
       if (link.isClosed) this.#unsentProgress++
-      else byLink.set(link, [...byLink.get(link) ?? [], [id, event]])
+      else byLink.set(link, [...byLink.get(link) ?? [], row])
     }
     this.#progress = []
     for (const [link, progress] of byLink) link.send('reportProgress', progress)
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -92,8 +92,8 @@
       ['requestPlacement', (body, link) => this.#place(PlacementRequest.parse(body), link)],
       ['reportProgress', (body, link) => {
         const { idPrefix, requests } = this.#getRouter(link)
-        for (const [id, event] of PlacementProgress.parse(body)) {
-          this.#queue.record(idPrefix + id, event)
+        for (const [id, event, elapsedMs] of PlacementProgress.parse(body)) {
+          this.#queue.record(idPrefix + id, event, { elapsedMs })
           if (event !== 'read') requests.delete(id)
         }
       }],
--- a/src/routing/PlacementQueue/index.ts
+++ b/src/routing/PlacementQueue/index.ts
@@ -36,9 +36,12 @@
     return new Promise((resolve, reject) => this.#pending.set(request.id, { resolve, reject }))
   }
 
-  /** Records the progress of a call. A request that is still waiting is completed with the verdict `none`. */
-  record (id: string, event: PlacementProgress[number][1]): void {
-    this.#scheduler.record(id, event, performance.now())
+  /**
+   * Records the progress of a call, `elapsedMs` after its placement if given. A request that is still waiting is completed
+   * with the verdict `none`.
+   */
+  record (id: string, event: PlacementProgress[number][1], options: { elapsedMs?: number } = {}): void {
+    this.#scheduler.record(id, event, performance.now(), options)
     this.#complete(id, { type: 'none' })
   }
 
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -22,8 +22,8 @@
 }
 
 interface RunningCall extends TrackedCall {
-  /** Estimated time from the placement to the first event. */
-  estimatedMs: number
+  /** Estimated time from the placement to the first event; undefined if this scheduler does not know the wait. */
+  estimatedMs: number | undefined
 }
 
 interface PromptSchedulerOptions {
@@ -143,22 +143,22 @@
     }
   }
 
-  /** Adds a running call that another scheduler placed. */
-  accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number): void {
+  /** Adds a running call that another scheduler placed, with that one's estimate of the time to the first event if known. */
+  accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number, { estimatedMs }: { estimatedMs?: number } = {}): void {
     if (this.#running.has(request.id)) return
     this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
-    this.#start(request, { target, readMs, estimatedMs: readMs, isRead, isAdopted: true }, nowMs)
-    if (isRead) this.#recordRead(this.#running.get(request.id)!, nowMs)
+    this.#start(request, { target, readMs, estimatedMs, isRead, isAdopted: true }, nowMs)
+    if (isRead) this.#recordRead(this.#running.get(request.id)!, { nowMs, elapsedMs: undefined })
   }
 
-  /** Records the progress of a call. A request that is still waiting is removed. */
-  record (id: string, event: ProgressEvent, nowMs: number): void {
+  /** Records the progress of a call, `elapsedMs` after its placement if given. A request that is still waiting is removed. */
+  record (id: string, event: ProgressEvent, nowMs: number, { elapsedMs }: { elapsedMs?: number } = {}): void {
     if (this.#waiting.delete(id) && this.#waiting.size === 0) this.#reservations.clear()
     this.#largePrefills.delete(id)
     const call = this.#running.get(id)
     if (!call) return
     this.#options.crashMonitor.record(id, event, nowMs)
-    if (event === 'read') return this.#recordRead(call, nowMs)
+    if (event === 'read') return this.#recordRead(call, { nowMs, elapsedMs: elapsedMs ?? nowMs - call.startedMs })
     this.#running.delete(id)
     this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.readMs })
     const circuit = formatCircuit(call.target, call.request.zone)
@@ -182,12 +182,13 @@
     return { pendingPrefillMs: pending.reduce((sum, ms) => sum + ms, 0), maxPendingPrefillMs: Math.max(0, ...pending), maxSlowdown: Math.max(1, ...slowdowns) }
   }
 
-  #recordRead (call: RunningCall, nowMs: number): void {
+  #recordRead (call: RunningCall, { nowMs, elapsedMs }: { nowMs: number, elapsedMs: number | undefined }): void {
     if (call.isRead) return
     call.isRead = true
-    this.#engines.get(call.target)?.recordFirstEvent({ id: call.request.id, readMs: call.readMs }, nowMs)
-    this.#slowdowns.record(call.target, { estimatedMs: call.estimatedMs, measuredMs: nowMs - call.startedMs }, nowMs)
-    this.#circuits.recordSuccess(formatCircuit(call.target, call.request.zone))
+    const { target, estimatedMs } = call
+    this.#engines.get(target)?.recordFirstEvent({ id: call.request.id, readMs: call.readMs }, nowMs)
+    if (estimatedMs !== undefined && elapsedMs !== undefined) this.#slowdowns.record(target, { estimatedMs, measuredMs: elapsedMs }, nowMs)
+    this.#circuits.recordSuccess(formatCircuit(target, call.request.zone))
   }
 
   #chooseVerdict ({ request, sinceMs }: WaitingRequest, nowMs: number): PlacementVerdict | undefined {
