Scale the outstanding prefill of a slow engine once

Callers saw: refusals for waits of seconds at engines that were slow for a while.

Cause: the prefill of a call was scaled by the slowdown of its engine when the call was placed, and the sum of these was scaled again when the wait of the next prompt was estimated.

Change: the outstanding prefill is kept at nominal speed and scaled when a wait is estimated.

--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -22,6 +22,8 @@
 }
 
 interface RunningCall extends TrackedCall {
+  /** Estimated prefill time at an engine of nominal speed. */
+  nominalReadMs: number
   /** Estimated time from the placement to the first event; undefined if this scheduler does not know the wait. */
   estimatedMs: number | undefined
 }
@@ -147,7 +149,8 @@
   accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number, { estimatedMs }: { estimatedMs?: number } = {}): void {
     if (this.#running.has(request.id)) return
     this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
-    this.#start(request, { target, readMs, estimatedMs, isRead, isAdopted: true }, nowMs)
+    const nominalReadMs = readMs / this.#slowdowns.getSlowdown(target, nowMs)
+    this.#start(request, { target, readMs, nominalReadMs, estimatedMs, isRead, isAdopted: true }, nowMs)
     if (isRead) this.#recordRead(this.#running.get(request.id)!, { nowMs, elapsedMs: undefined })
   }
 
@@ -160,7 +163,7 @@
     this.#options.crashMonitor.record(id, event, nowMs)
     if (event === 'read') return this.#recordRead(call, { nowMs, elapsedMs: elapsedMs ?? nowMs - call.startedMs })
     this.#running.delete(id)
-    this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.readMs })
+    this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.nominalReadMs })
     const circuit = formatCircuit(call.target, call.request.zone)
     if (event === 'unreachable') this.#circuits.open(circuit, nowMs)
     else if (event === 'lost') this.#circuits.recordFailure(circuit, nowMs)
@@ -175,7 +178,7 @@
     return [...this.#running.values()]
   }
 
-  /** Estimates that all placements are based on: outstanding prefill, and by how much it is scaled for slow targets. */
+  /** Estimates that all placements are based on: outstanding prefill at nominal speed, and by how much it is scaled. */
   getEstimates (nowMs: number): { pendingPrefillMs: number, maxPendingPrefillMs: number, maxSlowdown: number } {
     const pending = [...this.#engines.values()].map(({ pendingPrefillMs }) => pendingPrefillMs)
     const slowdowns = [...this.#engines.keys()].map(id => this.#slowdowns.getSlowdown(id, nowMs))
@@ -186,7 +189,7 @@
     if (call.isRead) return
     call.isRead = true
     const { target, estimatedMs } = call
-    this.#engines.get(target)?.recordFirstEvent({ id: call.request.id, readMs: call.readMs }, nowMs)
+    this.#engines.get(target)?.recordFirstEvent({ id: call.request.id, readMs: call.nominalReadMs }, nowMs)
     if (estimatedMs !== undefined && elapsedMs !== undefined) this.#slowdowns.record(target, { estimatedMs, measuredMs: elapsedMs }, nowMs)
     this.#circuits.recordSuccess(formatCircuit(target, call.request.zone))
   }
@@ -217,20 +220,20 @@
     return this.#largePrefills.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE_PROMPT))
   }
 
-  #place (request: PlacementRequest, { target, readMs, waitMs }: Candidate, nowMs: number): PlacementVerdict {
+  #place (request: PlacementRequest, { target, nominalReadMs, readMs, waitMs }: Candidate, nowMs: number): PlacementVerdict {
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
-    this.#start(request, { target: target.id, readMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
+    this.#start(request, { target: target.id, readMs, nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
     this.#options.crashMonitor.recordPlacement(request, target.id, nowMs)
     return { type: 'place', target: target.id, waitMs, readMs }
   }
 
-  #start (request: PlacementRequest, { target, readMs, estimatedMs, isRead, isAdopted }: Omit<RunningCall, 'request' | 'startedMs'>, nowMs: number): void {
+  #start (request: PlacementRequest, { target, isRead, ...estimates }: Omit<RunningCall, 'request' | 'startedMs'>, nowMs: number): void {
     this.#options.crashMonitor.start(request, { target, isRead }, nowMs)
     const entry = this.#ranking.find(target)
     const engine = entry && this.#getEngine(entry)
-    this.#running.set(request.id, { request, target, readMs, isRead: false, isAdopted, startedMs: nowMs, estimatedMs })
+    this.#running.set(request.id, { request, target, isRead: false, startedMs: nowMs, ...estimates })
     this.shares.recordService(request.account, computeCallTokens(request), nowMs)
-    engine?.start({ id: request.id, parts: request.parts, readMs }, nowMs)
+    engine?.start({ id: request.id, parts: request.parts, readMs: estimates.nominalReadMs }, nowMs)
   }
 
   #listCandidates ({ service, zone, parts, promptTokens, excluded }: PlacementRequest, nowMs: number): Candidate[] {
@@ -262,7 +265,7 @@
   /** Calls may run at the engine already: it has returned to the list of targets, or was not listed when they were adopted. */
   #createEngine (target: TargetEntry): EngineState {
     const engine = new EngineState(this.#options.getMemoryTokens(target.service) ?? Infinity)
-    for (const { request: { id, parts }, target: runningAt, readMs, isRead, startedMs } of this.#running.values()) {
+    for (const { request: { id, parts }, target: runningAt, nominalReadMs: readMs, isRead, startedMs } of this.#running.values()) {
       if (runningAt !== target.id) continue
       engine.start({ id, parts, readMs }, startedMs)
       if (isRead) engine.recordFirstEvent({ id, readMs }, startedMs)
