Keep the shares of client accounts across schedulers

Cause: use was known to one process. A new leader began with the calls that were still running, and each router's own scheduler knew its own calls only.

Change: the reply to each load report carries demand and service of the accounts while some are served less than they request. Routers keep the copy (ShareCopy), decide by it while they are alone, and hand it to a new leader, or to the same replica in another term, before the copy follows its summaries. An adopted call is charged only if no scheduler of the fleet placed it. The requests of routers move from PlacementService to RouterTable, unchanged.

--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -10,6 +10,7 @@
 import { PromptScheduler } from '../../routing/PromptScheduler'
 import type { ComponentLogger } from '../../telemetry/ComponentLogger'
 import { PlacementReporter } from '../PlacementReporter'
+import { ShareCopy } from '../ShareCopy'
 import { SuspectCopy } from '../SuspectCopy'
 
 type ProgressEvent = PlacementProgress[number][1]
@@ -56,6 +57,7 @@
   readonly #suspectCopy = new SuspectCopy(this.quarantine)
   readonly #localScheduler: PromptScheduler
   readonly #localQueue: PlacementQueue
+  readonly #shareCopy: ShareCopy
   readonly #reporter = new PlacementReporter({ listRunning: () => this.#localScheduler.listRunning() })
   #registeredLink: Link | undefined
   #fallbackUntilMs = -Infinity
@@ -68,6 +70,7 @@
     this.#crashMonitor = crashMonitor
     this.#localScheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1 / countRouters(), crashMonitor, random: Math.random, startedMs: performance.now() })
     this.#localQueue = new PlacementQueue(this.#localScheduler)
+    this.#shareCopy = new ShareCopy(this.#localScheduler.shares)
   }
 
   /** Placements that were refused because of a blocked prompt part. */
@@ -89,9 +92,10 @@
     return this.#reporter.listRequests()
   }
 
-  /** Takes over the suspected prompt parts from the scheduler's reply to a load report, and reports calls it lacks. */
-  applySummary (summary: Pick<LoadSummary, 'suspects' | 'term' | 'unknownPlacements'>, link: Link): void {
+  /** Takes over what the scheduler knows from its reply to a load report, and reports the calls that it does not know. */
+  applySummary (summary: Pick<LoadSummary, 'suspects' | 'shares' | 'term' | 'unknownPlacements'>, link: Link): void {
     this.#reporter.report(summary.unknownPlacements, link)
+    this.#shareCopy.apply(summary, link, performance.now())
     this.#suspectCopy.apply(summary, { link, isDetached: this.#findLink() !== link }, performance.now())
   }
 
@@ -119,7 +123,7 @@
       if (verdict.type !== 'place') return decided
       this.#reporter.add(request.id, link)
       const { target, waitMs, readMs } = verdict
-      this.#localScheduler.accept({ request, target, readMs, isRead: false }, performance.now(), { estimatedMs: waitMs + readMs })
+      this.#localScheduler.accept({ request, target, readMs, isRead: false }, performance.now(), { estimatedMs: waitMs + readMs, isCounted: true })
       return decided
     } catch (error) {
       this.#options.logger.warn('The scheduler did not reply; this router decides by itself.', { scheduler: link.peer.instance, requestId: request.id, reason: String(error) })
@@ -161,12 +165,13 @@
     return link
   }
 
-  /** Reports the calls that the scheduler does not know, and to a new one also the prompt parts that this router suspects. */
+  /** Reports the calls that the scheduler does not know, and to a new one also suspected prompt parts and account shares. */
   #registerAt (link: Link): void {
     const reported = this.#reporter.register(link)
     if (link === this.#registeredLink) return
     this.#registeredLink = link
     this.#suspectCopy.send(link, performance.now())
+    this.#shareCopy.send(link, performance.now())
     this.#options.logger.info('A scheduler was found.', { scheduler: link.peer.instance, running: reported })
   }
 }
--- a/src/gateway/PlacementClient/test.ts
+++ b/src/gateway/PlacementClient/test.ts
@@ -97,12 +97,12 @@
     const client = createClient(() => link)
     const request = { ...createRequest('1'), callId: 'c', parts: [{ id: 'bad', tokens: 100 }, { id: 'last', tokens: 1 }] }
     const suspect = { service: 's', part: 'bad', crashes: 3, blockedMs: 20_000, targets: ['t0'] }
-    client.applySummary({ suspects: [], term: 1, unknownPlacements: [] }, link)
-    client.applySummary({ suspects: [suspect], term: 1, unknownPlacements: [] }, link)
+    client.applySummary({ suspects: [], term: 1, shares: [], unknownPlacements: [] }, link)
+    client.applySummary({ suspects: [suspect], term: 1, shares: [], unknownPlacements: [] }, link)
     expect(await client.request(request)).toMatchObject({ scheduler: 'local', verdict: { type: 'blocked', part: 'bad', crashes: 3 } })
     expect(requests).toEqual([])
     expect(client.countBlockedParts()).toBe(1)
-    client.applySummary({ suspects: [{ ...suspect, blockedMs: 3_000 }], term: 1, unknownPlacements: [] }, link)
+    client.applySummary({ suspects: [{ ...suspect, blockedMs: 3_000 }], term: 1, shares: [], unknownPlacements: [] }, link)
     expect(await client.request(request)).toMatchObject({ scheduler: 'c1', verdict: { type: 'blocked' } })
     expect(requests).toEqual(['1'])
     expect(client.blockedCalls).toBe(2)
@@ -114,8 +114,8 @@
     const [first, second] = [createLink(place), createLink(place)]
     let current = first
     const client = createClient(() => current.link)
-    client.applySummary({ suspects: [], term: 1, unknownPlacements: [] }, first.link)
-    client.applySummary({ suspects: [{ service: 's', part: 'bad', crashes: 2, blockedMs: 300, targets: ['t0'] }], term: 1, unknownPlacements: [] }, first.link)
+    client.applySummary({ suspects: [], term: 1, shares: [], unknownPlacements: [] }, first.link)
+    client.applySummary({ suspects: [{ service: 's', part: 'bad', crashes: 2, blockedMs: 300, targets: ['t0'] }], term: 1, shares: [], unknownPlacements: [] }, first.link)
     current = second
     await client.request({ ...createRequest('1'), callId: 'c' })
     expect(second.sent.map(([type]) => type)).toEqual(['adoptPlacements', 'adoptSuspects'])
--- a/src/gateway/PlacementReporter/index.ts
+++ b/src/gateway/PlacementReporter/index.ts
@@ -1,3 +1,4 @@
+import type { AdoptedPlacement } from '../../contract/AdoptedPlacement'
 import type { PlacementProgress } from '../../contract/PlacementProgress'
 import type { RunningPlacement } from '../../contract/RunningPlacement'
 import type { Link } from '../../link/Link'
@@ -97,14 +98,17 @@
   #sendCalls (ids: readonly string[], link: Link): number {
     const wanted = new Set(ids)
     const running = wanted.size === 0 ? [] : this.#listRunning().filter(({ request }) => wanted.has(request.id))
-    link.send('adoptPlacements', running)
-    for (const { request } of running) {
-      const call = this.#calls.get(request.id)
-      if (call) call.link = link
-    }
+    link.send('adoptPlacements', running.map(placement => this.#createAdopted(placement, link)))
     return running.length
   }
 
+  #createAdopted (placement: RunningPlacement, link: Link): AdoptedPlacement {
+    const call = this.#calls.get(placement.request.id)
+    const isCounted = call?.link !== undefined
+    if (call) call.link = link
+    return { ...placement, isCounted }
+  }
+
   #sendProgress (): void {
     const byLink = new Map<Link, PlacementProgress>()
     for (const { row, link } of this.#progress) {
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -1,10 +1,11 @@
 import { z } from 'zod'
+import { AccountShare } from '../../../contract/AccountShare'
+import { AdoptedPlacement } from '../../../contract/AdoptedPlacement'
 import { AppError } from '../../../contract/AppError'
 import type { LoadReport } from '../../../contract/LoadReport'
 import { PlacementProgress } from '../../../contract/PlacementProgress'
 import type { PlacementVerdict } from '../../../contract/PlacementVerdict'
 import { PlacementRequest } from '../../../contract/PlacementRequest'
-import { RunningPlacement } from '../../../contract/RunningPlacement'
 import { SuspectPart } from '../../../contract/SuspectPart'
 import type { TargetEntry } from '../../../contract/TargetEntry'
 import type { Link } from '../../../link/Link'
@@ -19,6 +20,7 @@
 import { selectSuspects } from '../../../routing/selectSuspects'
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 import { compareCallCounts } from './_lib/compareCallCounts'
+import { RouterTable } from './_lib/RouterTable'
 
 interface PlacementServiceOptions {
   isLeader: () => boolean
@@ -28,29 +30,12 @@
   logger: ComponentLogger
 }
 
-interface RouterState {
-  /** Prepended to the ids of the router's calls, which makes them unique among all routers. */
-  idPrefix: string
-  /** Monotonic time of the router's last load report, or of its first message. */
-  heardAtMs: number
-  /** Requests at engines in the newest load report. */
-  reported: number
-  /** Ids, without the prefix, of the router's requests that wait or run. */
-  requests: Set<string>
-}
-
 type Tracking = ReturnType<typeof computeTrackingStatistics> & ReturnType<typeof compareCallCounts> & ReturnType<PromptScheduler['getEstimates']>
 
-const AdoptedPlacements = z.array(RunningPlacement)
+const AdoptedPlacements = z.array(AdoptedPlacement)
 const AdoptedSuspects = z.array(SuspectPart)
-const NO_REQUESTS: ReadonlySet<string> = new Set()
-const CHECK_INTERVAL_MS = 250
+const AdoptedShares = z.array(AccountShare)
 const TRACKING_LOG_INTERVAL_MS = 1_000
-/**
- * Routers report their load four times as often. The calls of a router that has sent no report for this time are removed,
- * because they can't be tracked.
- */
-const ROUTER_TIMEOUT_MS = 1_000
 /** The list of suspects is computed at most this often, because each load report of each router is answered with it. */
 const SUSPECTS_INTERVAL_MS = 50
 const TRAFFIC_LOG_INTERVAL_MS = 1_000
@@ -66,8 +51,7 @@
   /** Prompt parts under which targets crashed. */
   readonly quarantine = new PromptQuarantine()
   readonly #options: PlacementServiceOptions
-  readonly #routers = new Map<Link, RouterState>()
-  readonly #timer: NodeJS.Timeout
+  readonly #routers = new RouterTable({ onRemoved: id => this.#queue.record(id, 'ended') })
   readonly #trafficTimer: NodeJS.Timeout
   readonly #traffic = new AccountTraffic()
   readonly #trackingTimer: NodeJS.Timeout
@@ -75,13 +59,10 @@
   #queue!: PlacementQueue
   readonly #verdicts = { place: 0, refuse: 0, blocked: 0, none: 0 }
   #targets: readonly TargetEntry[] = []
-  #nextRouterNumber = 1
-  #checkedAtMs = performance.now()
   #suspects: { list: SuspectPart[], atMs: number } = { list: [], atMs: -Infinity }
 
   constructor (options: PlacementServiceOptions) {
     this.#options = options
-    this.#timer = setInterval(() => this.#removeRequestsOfSilentRouters(), CHECK_INTERVAL_MS)
     this.#trafficTimer = setInterval(() => this.#logTraffic(), TRAFFIC_LOG_INTERVAL_MS)
     this.#trackingTimer = setInterval(() => this.#logTracking(), TRACKING_LOG_INTERVAL_MS)
     this.reset()
@@ -91,19 +72,23 @@
     return new Map<string, MessageHandler>([
       ['requestPlacement', (body, link) => this.#place(PlacementRequest.parse(body), link)],
       ['reportProgress', (body, link) => {
-        const { idPrefix, requests } = this.#getRouter(link)
+        const { idPrefix, requests } = this.#routers.get(link)
         for (const [id, event, elapsedMs] of PlacementProgress.parse(body)) {
           this.#queue.record(idPrefix + id, event, { elapsedMs })
           if (event !== 'read') requests.delete(id)
         }
       }],
       ['adoptPlacements', (body, link) => {
-        for (const placement of AdoptedPlacements.parse(body)) {
-          this.#scheduler.accept({ ...placement, request: this.#createGlobalRequest(placement.request, link) }, performance.now())
-          this.#getRouter(link).requests.add(placement.request.id)
+        for (const { isCounted, ...placement } of AdoptedPlacements.parse(body)) {
+          this.#scheduler.accept({ ...placement, request: this.#createGlobalRequest(placement.request, link) }, performance.now(), { isCounted })
+          this.#routers.get(link).requests.add(placement.request.id)
         }
       }],
-      ['adoptSuspects', (body, link) => this.#acceptSuspects(AdoptedSuspects.parse(body), link)]
+      ['adoptSuspects', (body, link) => this.#acceptSuspects(AdoptedSuspects.parse(body), link)],
+      ['adoptShares', body => {
+        this.#checkLeader('decide on prompts')
+        this.#scheduler.shares.merge(AdoptedShares.parse(body), performance.now())
+      }]
     ])
   }
 
@@ -114,6 +99,11 @@
     return this.#suspects.list
   }
 
+  /** Recent traffic of the client accounts for the routers; empty while all are served in full. */
+  getShares (): AccountShare[] {
+    return this.#scheduler.shares.list(performance.now())
+  }
+
   /** All suspected prompt parts. Throws `not-leader` if this replica does not lead. */
   listSuspects (): SuspectPart[] {
     this.#checkLeader('decide on prompt parts')
@@ -150,7 +140,7 @@
       const idPrefix = request.id.slice(0, request.id.indexOf(':') + 1)
       tracked.set(idPrefix, (tracked.get(idPrefix) ?? 0) + 1)
     }
-    const routers = [...this.#routers].map(([link, { idPrefix, reported }]) => {
+    const routers = this.#routers.list().map(([link, { idPrefix, reported }]) => {
       const counts = { router: link.peer.instance, tracked: tracked.get(idPrefix) ?? 0, reported }
       tracked.delete(idPrefix)
       return counts
@@ -175,7 +165,7 @@
     this.#scheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1, crashMonitor, random: Math.random, startedMs: performance.now() })
     this.#scheduler.setTargets(this.#targets)
     this.#queue = new PlacementQueue(this.#scheduler)
-    for (const { requests } of this.#routers.values()) requests.clear()
+    this.#routers.clearRequests()
   }
 
   /**
@@ -183,16 +173,13 @@
    * and the scheduler does not know.
    */
   observeRouter (link: Link, report: Pick<LoadReport, 'targets' | 'placements'>): string[] {
-    const router = this.#getRouter(link)
-    router.heardAtMs = performance.now()
-    this.#removeRequests(router, new Set(report.placements))
     const engines = new Set(this.#targets.filter(({ service }) => this.#options.getMemoryTokens(service) !== undefined).map(({ id }) => id))
-    router.reported = report.targets.reduce((sum, [target, running]) => engines.has(target) ? sum + running : sum, 0)
-    return report.placements.filter(id => !router.requests.has(id))
+    const reported = report.targets.reduce((sum, [target, running]) => engines.has(target) ? sum + running : sum, 0)
+    return this.#routers.observe(link, { placements: report.placements, reported })
   }
 
   close (): void {
-    clearInterval(this.#timer)
+    this.#routers.close()
     clearInterval(this.#trafficTimer)
     clearInterval(this.#trackingTimer)
     this.#queue.close()
@@ -201,7 +188,7 @@
   async #place (request: PlacementRequest, link: Link): Promise<PlacementVerdict> {
     const startedAtMs = performance.now()
     const globalRequest = this.#createGlobalRequest(request, link)
-    const { requests } = this.#getRouter(link)
+    const { requests } = this.#routers.get(link)
     requests.add(request.id)
     this.#traffic.recordRequest(request, startedAtMs)
     const verdict = await this.#queue.request(globalRequest)
@@ -217,7 +204,7 @@
   /** Gives the request an id that is unique among all routers. Throws `not-leader` if this replica does not lead. */
   #createGlobalRequest (request: PlacementRequest, link: Link): PlacementRequest {
     this.#checkLeader('place calls')
-    return { ...request, id: this.#getRouter(link).idPrefix + request.id }
+    return { ...request, id: this.#routers.get(link).idPrefix + request.id }
   }
 
   #listRefusedAccounts (): ReturnType<AccountTraffic['list']> {
@@ -246,18 +233,6 @@
     if (!this.#options.isLeader()) throw new AppError('not-leader', `This replica is not the leader, so it does not ${purpose}.`)
   }
 
-  #getRouter (link: Link): RouterState {
-    const known = this.#routers.get(link)
-    if (known) return known
-    const router = { idPrefix: `${this.#nextRouterNumber++}:`, heardAtMs: performance.now(), reported: 0, requests: new Set<string>() }
-    this.#routers.set(link, router)
-    link.onClose(() => {
-      this.#routers.delete(link)
-      this.#removeRequests(router, NO_REQUESTS)
-    })
-    return router
-  }
-
   /** Writes a warning, because the lines about decisions use up the rate of other lines. */
   #logTracking (): void {
     if (!this.#options.isLeader()) return
@@ -265,24 +240,6 @@
     const rounded = Object.fromEntries(Object.entries(tracking).map(([name, value]) => [name, Math.round(value)]))
     this.#options.logger.warn('Tracked calls were compared with load reports.', { ...rounded, maxSlowdown: Number(maxSlowdown.toFixed(2)), routers: this.#routers.size, worst })
   }
-
-  #removeRequestsOfSilentRouters (): void {
-    const nowMs = performance.now()
-    // After a stall of this process its timers run before it reads the reports that have arrived meanwhile.
-    const isLate = nowMs - this.#checkedAtMs > 2 * CHECK_INTERVAL_MS
-    this.#checkedAtMs = nowMs
-    if (isLate) return
-    for (const router of this.#routers.values()) if (nowMs - router.heardAtMs > ROUTER_TIMEOUT_MS) this.#removeRequests(router, NO_REQUESTS)
-  }
-
-  /** Ends the requests of a router, waiting or running, except those with the given ids. */
-  #removeRequests ({ idPrefix, requests }: RouterState, exceptIds: ReadonlySet<string>): void {
-    for (const id of requests) {
-      if (exceptIds.has(id)) continue
-      requests.delete(id)
-      this.#queue.record(idPrefix + id, 'ended')
-    }
-  }
 }
 
 function formatFigures (figures: ReturnType<AccountTraffic['list']>[number]): object {
--- a/src/instance/startRegistry/index.ts
+++ b/src/instance/startRegistry/index.ts
@@ -120,7 +120,7 @@
       const unknownPlacements = placement.observeRouter(link, report)
       loads.record(instance, report, performance.now())
       const mayLeaveRotation = permits.observe({ router: instance, zone, isOverloaded: report.isOverloaded }, performance.now())
-      return { ...loads.computeSummary(instance, performance.now()), mayLeaveRotation, suspects: [...placement.getSuspects()], term: getStatus(logs).term, unknownPlacements } satisfies LoadSummary
+      return { ...loads.computeSummary(instance, performance.now()), mayLeaveRotation, suspects: [...placement.getSuspects()], term: getStatus(logs).term, shares: placement.getShares(), unknownPlacements } satisfies LoadSummary
     }]
   ])
   // This incarnation identifies the process; the incarnation of its disk is part of the replica id.
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -145,10 +145,16 @@
     }
   }
 
-  /** Adds a running call that another scheduler placed, with that one's estimate of the time to the first event if known. */
-  accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number, { estimatedMs }: { estimatedMs?: number } = {}): void {
+  /**
+   * Adds a running call that another scheduler placed, with that one's estimate of the time to the first event if known.
+   * The call is charged to its account unless the shares contain it already (`isCounted`).
+   */
+  accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number, { estimatedMs, isCounted = false }: { estimatedMs?: number, isCounted?: boolean } = {}): void {
     if (this.#running.has(request.id)) return
-    this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
+    if (!isCounted) {
+      this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
+      this.shares.recordService(request.account, computeCallTokens(request), nowMs)
+    }
     const nominalReadMs = readMs / this.#slowdowns.getSlowdown(target, nowMs)
     this.#start(request, { target, readMs, nominalReadMs, estimatedMs, isRead, isAdopted: true }, nowMs)
     if (isRead) this.#recordRead(this.#running.get(request.id)!, { nowMs, elapsedMs: undefined })
@@ -223,6 +229,7 @@
   #place (request: PlacementRequest, { target, nominalReadMs, readMs, waitMs }: Candidate, nowMs: number): PlacementVerdict {
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
     this.#start(request, { target: target.id, readMs, nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
+    this.shares.recordService(request.account, computeCallTokens(request), nowMs)
     this.#options.crashMonitor.recordPlacement(request, target.id, nowMs)
     return { type: 'place', target: target.id, waitMs, readMs }
   }
@@ -232,7 +239,6 @@
     const entry = this.#ranking.find(target)
     const engine = entry && this.#getEngine(entry)
     this.#running.set(request.id, { request, target, isRead: false, startedMs: nowMs, ...estimates })
-    this.shares.recordService(request.account, computeCallTokens(request), nowMs)
     engine?.start({ id: request.id, parts: request.parts, readMs: estimates.nominalReadMs }, nowMs)
   }
 
--- a/test/_lib/PlacementNetwork/index.ts
+++ b/test/_lib/PlacementNetwork/index.ts
@@ -73,7 +73,7 @@
       ['reportLoad', (body, link) => {
         if (this.leader !== replica) throw new AppError('not-leader', 'This replica is not the leader.')
         const unknownPlacements = this.services[replica].observeRouter(link, LoadReport.parse(body))
-        return { routers: this.routers.length, targets: [], mayLeaveRotation: false, suspects: [], term: this.#term, unknownPlacements } satisfies LoadSummary
+        return { routers: this.routers.length, targets: [], mayLeaveRotation: false, suspects: [], term: this.#term, shares: this.services[replica].getShares(), unknownPlacements } satisfies LoadSummary
       }]
     ])
     return new MemoryLink(handlers, { router, replica: `c${replica}` })
