Keep routers without a scheduler within their share of all engines

Callers saw: for seconds after a leader was lost, prompts that waited far past their objective.

Cause: a router that places prompts by itself knows its own calls only.

Change: such a router places no more than its share of the slots and queues of all engines together, or one prompt while none of its prefills is outstanding.

--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -14,6 +14,9 @@
 import type { Candidate } from './_lib/Candidate'
 import { chooseBest } from './_lib/chooseBest'
 import { computeAdmissionLimits } from './_lib/computeAdmissionLimits'
+import { findSoonest } from './_lib/findSoonest'
+import { hasOwnCapacity } from './_lib/hasOwnCapacity'
+import { isAdmissible } from './_lib/isAdmissible'
 import { TargetRanking } from './_lib/TargetRanking'
 
 interface WaitingRequest {
@@ -187,8 +190,12 @@
   /** Estimates that all placements are based on: outstanding prefill at nominal speed, and by how much it is scaled. */
   getEstimates (nowMs: number): { pendingPrefillMs: number, maxPendingPrefillMs: number, maxSlowdown: number } {
     const pending = [...this.#engines.values()].map(({ pendingPrefillMs }) => pendingPrefillMs)
-    const slowdowns = [...this.#engines.keys()].map(id => this.#slowdowns.getSlowdown(id, nowMs))
-    return { pendingPrefillMs: pending.reduce((sum, ms) => sum + ms, 0), maxPendingPrefillMs: Math.max(0, ...pending), maxSlowdown: Math.max(1, ...slowdowns) }
+    const maxSlowdown = Math.max(1, ...[...this.#engines.keys()].map(id => this.#slowdowns.getSlowdown(id, nowMs)))
+    return { pendingPrefillMs: this.#computePendingPrefillMs(), maxPendingPrefillMs: Math.max(0, ...pending), maxSlowdown }
+  }
+
+  #computePendingPrefillMs (): number {
+    return [...this.#engines.values()].reduce((sum, { pendingPrefillMs }) => sum + pendingPrefillMs, 0)
   }
 
   #recordRead (call: RunningCall, { nowMs, elapsedMs }: { nowMs: number, elapsedMs: number | undefined }): void {
@@ -208,11 +215,9 @@
     const isLarge = Math.min(...candidates.map(({ nominalReadMs }) => nominalReadMs)) > LARGE_PROMPT_SHARE * request.objectiveMs
     const standing = this.shares.getStanding(request.account, nowMs)
     const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && this.#isLargePromptAllowed() ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
-    const loadShare = this.#options.getLoadShare()
-    const free = candidates.filter(({ target, engine, waitMs }) => waitMs <= limits.queueMs && engine.running < target.slots * loadShare * limits.slotShare && this.#reservations.isAvailable(target.id, standing.service))
+    const free = this.#listFree(candidates, { ...limits, service: standing.service })
     const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)), { maxRank: AFFINITY_TARGETS })
-    if (best && isLarge) this.#largePrefills.add(request.id)
-    if (best) return this.#place(request, best, nowMs)
+    if (best) return this.#place(request, best, { nowMs, isLarge })
     if (nowMs - sinceMs < MAX_WAIT_MS) {
       const soonest = free.length > 0 ? findSoonest(free) : undefined
       if (soonest && soonest.readMs <= MAX_RESERVATION_READ_MS) this.#reservations.add(soonest.target.id, standing.service)
@@ -222,11 +227,21 @@
     return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random(), waitMs, readMs }
   }
 
+  /** Lists the candidates that have room for a prompt of an account that was served so many tokens. */
+  #listFree (candidates: readonly Candidate[], { queueMs, slotShare, service }: { queueMs: number, slotShare: number, service: number }): Candidate[] {
+    const share = this.#options.getLoadShare()
+    const active = this.#ranking.list(candidates[0].target.service, '')
+    const ownLoad = { share, engines: active.length, slots: active.reduce((sum, { slots }) => sum + slots, 0), running: this.#running.size, pendingPrefillMs: this.#computePendingPrefillMs(), queueMs }
+    return candidates.filter(({ target, engine, waitMs, readMs }) => waitMs <= queueMs && engine.running < target.slots * share * slotShare &&
+      hasOwnCapacity(ownLoad, readMs) && this.#reservations.isAvailable(target.id, service))
+  }
+
   #isLargePromptAllowed (): boolean {
     return this.#largePrefills.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE_PROMPT))
   }
 
-  #place (request: PlacementRequest, { target, nominalReadMs, readMs, waitMs }: Candidate, nowMs: number): PlacementVerdict {
+  #place (request: PlacementRequest, { target, nominalReadMs, readMs, waitMs }: Candidate, { nowMs, isLarge }: { nowMs: number, isLarge: boolean }): PlacementVerdict {
+    if (isLarge) this.#largePrefills.add(request.id)
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
     this.#start(request, { target: target.id, readMs, nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
     this.shares.recordService(request.account, computeCallTokens(request), nowMs)
@@ -280,16 +295,6 @@
   }
 }
 
-/** Whether the prefill is predicted to end in time, or the wait is within the limit for late prompts (0 for most). */
-function isAdmissible ({ waitMs, readMs }: Candidate, limits: { remainingMs: number, lateWaitMs: number }): boolean {
-  return waitMs + readMs <= limits.remainingMs || waitMs <= limits.lateWaitMs
-}
-
-/** The candidate whose prefill is predicted to end first. */
-function findSoonest (candidates: readonly Candidate[]): Candidate {
-  return candidates.reduce((least, next) => next.waitMs + next.readMs < least.waitMs + least.readMs ? next : least)
-}
-
 /** Circuits are kept per target and zone, because a target may be unreachable from one zone only. */
 function formatCircuit (target: string, zone: string): string {
   return `${target} ${zone}`
--- a/test/placementTracking.test.ts
+++ b/test/placementTracking.test.ts
@@ -1,3 +1,4 @@
+import { computePrefillMs } from '../src/routing/computePrefillMs'
 import { PlacementNetwork } from './_lib/PlacementNetwork'
 
 const createTarget = (id: string, slots = 48) => ({ id, service: 's', host: '10.0.0.1', port: 1, zone: 'z', slots, isDraining: false, warmupMs: 0 })
@@ -203,6 +204,29 @@
   })
 })
 
+describe('Routers that place prompts by themselves', () => {
+  beforeEach(() => {
+    jest.useFakeTimers()
+    network = new PlacementNetwork({ replicas: 1, routers: 24, targets: TARGETS })
+  })
+  afterEach(() => {
+    network.close()
+    jest.useRealTimers()
+  })
+
+  // Guards against waits of seconds at the engines while there is no scheduler: each router took every engine without calls
+  // of its own for free.
+  it('place together no more than the engines can read within the objective, and use all of it', async () => {
+    for (const router of network.routers) router.leader = undefined
+    const results = network.routers.flatMap(({ start }) => Array.from({ length: 8 }, (_, i) => start(String(i), { promptTokens: 6_000 })))
+    await advance(260)
+    const placed = (await Promise.all(results)).filter(isPlaced => isPlaced).length
+    const prefillMs = placed * computePrefillMs(6_000, 0)
+    expect(prefillMs).toBeLessThanOrEqual(600 * TARGETS.length)
+    expect(prefillMs).toBeGreaterThan(300 * TARGETS.length)
+  })
+})
+
 describe('The estimates of the leader', () => {
   beforeEach(() => { jest.useFakeTimers() })
   afterEach(() => {
