--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -15,6 +15,7 @@
 import { chooseBest } from './_lib/chooseBest'
 import { computeAdmissionLimits } from './_lib/computeAdmissionLimits'
 import { findSoonest } from './_lib/findSoonest'
+import { formatCircuit } from './_lib/formatCircuit'
 import { hasOwnCapacity } from './_lib/hasOwnCapacity'
 import { isAdmissible } from './_lib/isAdmissible'
 import { TargetRanking } from './_lib/TargetRanking'
@@ -294,8 +295,3 @@
     return engine
   }
 }
-
-/** Circuits are kept per target and zone, because a target may be unreachable from one zone only. */
-function formatCircuit (target: string, zone: string): string {
-  return `${target} ${zone}`
-}
