Keep the calls of routers that do not name them in their load reports

Cause: a load report of a router of the version before names no placements, and was read as one of a router without any. During a rolling upgrade the leader would have ended all calls of such a router with each report.

Change: the field is optional, and only a report with it is reconciled.

--- a/src/contract/LoadReport/index.ts
+++ b/src/contract/LoadReport/index.ts
@@ -14,7 +14,7 @@
   targets: z.array(z.tuple([z.string(), z.number(), z.number()])),
   /** Whether the router has more work than processor time, and asks to leave the rotation of the load balancer. */
   isOverloaded: z.boolean().default(false),
-  /** Ids of all placement requests of the router that wait for a verdict or run. */
-  placements: z.array(z.string()).default([])
+  /** Ids of all placement requests of the router that wait for a verdict or run; unset if the router does not tell. */
+  placements: z.array(z.string()).optional()
 })
 export type LoadReport = z.infer<typeof LoadReport>
--- a/src/instance/_lib/PlacementService/_lib/RouterTable/index.ts
+++ b/src/instance/_lib/PlacementService/_lib/RouterTable/index.ts
@@ -12,8 +12,8 @@
 }
 
 interface ObservedReport {
-  /** Ids of all requests of the router that wait or run. */
-  placements: readonly string[]
+  /** Ids of all requests of the router that wait or run; undefined if the router does not tell. */
+  placements: readonly string[] | undefined
   /** Requests that the router runs at engines. */
   reported: number
 }
@@ -67,6 +67,7 @@
     const router = this.get(link)
     router.heardAtMs = performance.now()
     router.reported = reported
+    if (!placements) return []
     this.#removeRequests(router, new Set(placements))
     return placements.filter(id => !router.requests.has(id))
   }
