--- a/src/contract/TargetEntry/index.ts
+++ b/src/contract/TargetEntry/index.ts
@@ -13,12 +13,12 @@
   id: z.string().min(1),
   service: z.string(),
   host: z.string(),
-  port: z.number().int().positive(),
+  port: z.number().int().min(1).max(65_535),
   zone: z.string(),
   /** Maximum number of requests that run on the target at once. */
-  slots: z.number().positive(),
+  slots: z.number().int().positive().max(10_000),
   isDraining: z.boolean(),
   /** Milliseconds for which the target is still slow after its start. */
-  warmupMs: z.number().nonnegative()
+  warmupMs: z.number().nonnegative().max(Number.MAX_SAFE_INTEGER)
 })
 export type TargetEntry = z.infer<typeof TargetEntry>
