Answer calls at the limit of a stop of the product's router

Cause: the product's router passed nothing to interruptCalls, so at the limit of a stop it closed the connections of all calls that still ran or waited, with no answer. It took calls whose body was completed after the lame-duck period and passed them on, and cut them too. A keyed call that was sent could not be ended, so the process did not exit and was killed.

Change: RunningCalls refuses calls after the lame-duck period, also those whose body is completed then, and ends the running ones shortly before the limit, as the gateway does: "not run" if no byte was sent, "outcome unknown" otherwise, a broken connection if the answer has begun. A keyed call that was sent is ended at the limit too; its record says that it may have run.

The cut of an answer that has begun is not tested in this router.

--- a/src/instance/CallHandler/index.ts
+++ b/src/instance/CallHandler/index.ts
@@ -9,6 +9,7 @@
 import { selectHeaders } from '../../target/selectHeaders'
 import type { TargetCall } from '../../target/TargetCall'
 import type { RequestObservation } from '../../telemetry/RequestObservation'
+import type { RunningCalls } from '../_lib/RunningCalls'
 import type { KeyedCallRunner } from '../KeyedCallRunner'
 import { parseJsonBody } from '../parseJsonBody'
 import { readBody } from '../readBody'
@@ -21,6 +22,7 @@
   view: SettingsView
   relay: ResponseRelay
   keyedCalls: KeyedCallRunner
+  runningCalls: RunningCalls
   maxBodyBytes: number
 }
 
@@ -28,6 +30,8 @@
   request: IncomingMessage
   response: ServerResponse
   observation: RequestObservation
+  /** Aborts when the caller disconnects or the router interrupts the call. */
+  signal: AbortSignal
 }
 
 interface Call {
@@ -43,7 +47,7 @@
  * @category Instance
  * @summary Handles a caller's HTTP request from its arrival to the end of the response.
  *
- * @param options - Settings, relay of responses, runner of calls with an idempotency key, size limit of the body.
+ * @param options - Settings, relay of responses, runner of calls with an idempotency key, running calls, size limit of the body.
  *
  * @example
  * await handler.handleCompletion(request, response, observation)
@@ -55,26 +59,37 @@
     this.#options = options
   }
 
-  async handleCompletion (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
-    const account = checkCredentials(request.headers.authorization, this.#options.view)
-    const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
-    const fields = CompletionFields.safeParse(parseJsonBody(body))
-    if (!fields.success) throw new AppError('bad-request', 'The body needs a string `model`, and `max_tokens` must be a positive number if it is present.')
-    await this.#runCall({ request, response, observation }, { account, service: fields.data.model, path: request.url ?? '/', body, kind: 'completion' })
+  handleCompletion (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
+    return this.#options.runningCalls.run(response, async signal => {
+      const account = checkCredentials(request.headers.authorization, this.#options.view)
+      const body = await this.#readBody(request, signal)
+      const fields = CompletionFields.safeParse(parseJsonBody(body))
+      if (!fields.success) throw new AppError('bad-request', 'The body needs a string `model`, and `max_tokens` must be a positive number if it is present.')
+      await this.#runCall({ request, response, observation, signal }, { account, service: fields.data.model, path: request.url ?? '/', body, kind: 'completion' })
+    })
   }
 
-  async handleService (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
-    const account = checkCredentials(request.headers.authorization, this.#options.view)
-    const body = await readBody(request, { maxBytes: this.#options.maxBodyBytes })
-    const match = /^\/services\/([^/?]+)(\/?.*)$/.exec(request.url ?? '')
-    if (!match) throw new AppError('not-found', 'No such path.')
-    await this.#runCall({ request, response, observation }, { account, service: match[1], path: match[2] || '/', body, kind: 'http' })
+  handleService (request: IncomingMessage, response: ServerResponse, observation: RequestObservation): Promise<void> {
+    return this.#options.runningCalls.run(response, async signal => {
+      const account = checkCredentials(request.headers.authorization, this.#options.view)
+      const body = await this.#readBody(request, signal)
+      const match = /^\/services\/([^/?]+)(\/?.*)$/.exec(request.url ?? '')
+      if (!match) throw new AppError('not-found', 'No such path.')
+      await this.#runCall({ request, response, observation, signal }, { account, service: match[1], path: match[2] || '/', body, kind: 'http' })
+    })
   }
 
-  async #runCall ({ request, response, observation }: Exchange, call: Call): Promise<void> {
+  /** Refuses a call whose body was completed after the router has begun to refuse calls. */
+  async #readBody (request: IncomingMessage, signal: AbortSignal): Promise<Buffer> {
+    const { runningCalls, maxBodyBytes } = this.#options
+    const body = await runningCalls.resolveUnlessInterrupted(readBody(request, { maxBytes: maxBodyBytes }), signal)
+    runningCalls.assertAccepting()
+    return body
+  }
+
+  async #runCall ({ request, response, observation, signal }: Exchange, call: Call): Promise<void> {
     const service = this.#findService(call)
     observation.setCall({ account: call.account.name, service: call.service })
-    const signal = createDisconnectSignal(response)
     const targetCall = createTargetCall(request, { call, service, signal, observation })
     const key = targetCall.isIdempotent ? undefined : parseIdempotencyKey(request.headers['idempotency-key'])
     if (key === undefined) await this.#options.relay.run(targetCall, response)
@@ -97,15 +112,6 @@
   throw new AppError('bad-request', `The idempotency-key header must have 1 to ${MAX_KEY_LENGTH} characters.`)
 }
 
-/** A signal that aborts when the caller disconnects before the end of the response. */
-function createDisconnectSignal (response: ServerResponse): AbortSignal {
-  const abort = new AbortController()
-  response.on('close', () => {
-    if (!response.writableFinished) abort.abort(new AppError('caller-gone', 'The caller closed the connection.'))
-  })
-  return abort.signal
-}
-
 function createTargetCall (request: IncomingMessage, parts: { call: Call, service: Service, signal: AbortSignal, observation: RequestObservation }): TargetCall {
   const { call, service, signal, observation } = parts
   const method = request.method ?? 'GET'
--- a/src/instance/KeyedCallRunner/index.ts
+++ b/src/instance/KeyedCallRunner/index.ts
@@ -32,7 +32,8 @@
  *
  * @description
  * The record is claimed before the call is queued, so that a resend of an ended call needs no slot. Once a byte was
- * sent to the target, the call runs to its end even if the caller disconnects, so that a resend gets the response.
+ * sent to the target, the call runs to its end even if the caller disconnects, so that a resend gets the response, unless
+ * the router interrupts it at the limit of a stop.
  *
  * @param dispatcher - Runs calls on targets.
  * @param idempotencyClient - Client for the idempotency records.
@@ -88,19 +89,21 @@
 
   async #dispatch (call: TargetCall, claim: Attempt & { session: string }): Promise<InFlightResponse> {
     const abort = new AbortController()
-    const handleAbort = (): void => abort.abort(call.signal.reason)
+    let isSent = false
+    const handleAbort = (): void => {
+      const isStopping = convertToAppError(call.signal.reason).kind === 'shutting-down'
+      if (!isSent || isStopping) abort.abort(call.signal.reason)
+    }
     if (call.signal.aborted) handleAbort()
     call.signal.addEventListener('abort', handleAbort)
     const confirmSend = (): void => {
       this.#idempotencyClient.confirmSend(claim.session)
-      call.signal.removeEventListener('abort', handleAbort)
+      isSent = true
     }
     try {
       return await this.#dispatcher.dispatch({ ...call, signal: abort.signal, confirmSend })
     } catch (thrown) {
       throw await this.#settleFailure(convertToAppError(thrown), claim)
-    } finally {
-      call.signal.removeEventListener('abort', handleAbort)
     }
   }
 
@@ -127,7 +130,7 @@
     const isTooLarge = bytes.length > MAX_STORED_BYTES
     const stored: StoredResponse = isTooLarge ? { kind: 'too-large' } : { kind: 'complete', status, headers: selectHeaders(headers), body: Uint8Array.from(bytes) }
     await this.#record(run.claim, stored)
-    if (!response.destroyed) sendBufferedResponse(response, { status, headers, body: bytes, method: call.method })
+    if (!response.destroyed && !response.headersSent) sendBufferedResponse(response, { status, headers, body: bytes, method: call.method })
   }
 
   /** Continues in the background when control is slow, because the response to the caller doesn't depend on the record. */
--- a/src/instance/startRouter/index.ts
+++ b/src/instance/startRouter/index.ts
@@ -16,6 +16,7 @@
 import { createSettingsSync } from '../_lib/createSettingsSync'
 import { createTelemetry } from '../_lib/createTelemetry'
 import { GracefulShutdown } from '../_lib/GracefulShutdown'
+import { RunningCalls } from '../_lib/RunningCalls'
 import { startIdempotencyClient } from '../_lib/startIdempotencyClient'
 import { startScheduling } from '../_lib/startScheduling'
 import { CallHandler } from '../CallHandler'
@@ -77,11 +78,12 @@
   const dispatcher = new CallDispatcher({ gate, targets, running, isTargetOpen })
   const idempotencyClient = startIdempotencyClient({ incarnation, control: settingsSync.control, lifecycle, listDrainingTargets: () => listDrainingTargets(view, running, isTargetOpen) })
   const keyedCalls = new KeyedCallRunner(dispatcher, idempotencyClient)
-  const callHandler = new CallHandler({ view, relay: new ResponseRelay(dispatcher), keyedCalls, maxBodyBytes: settings.maxBodyBytes })
+  const runningCalls = new RunningCalls({ isRefusing: () => shutdown.isRefusing })
+  const callHandler = new CallHandler({ view, relay: new ResponseRelay(dispatcher), keyedCalls, runningCalls, maxBodyBytes: settings.maxBodyBytes })
   registerRouterMetrics(metrics, { view, gate })
   const handleCompletion = observeCalls(observer, (request, response, observation) => callHandler.handleCompletion(request, response, observation))
   const handleService = observeCalls(observer, (request, response, observation) => callHandler.handleService(request, response, observation))
-  const shutdown = new GracefulShutdown({ ...settings, countKeyedCalls: () => keyedCalls.countRunning(), readCallId: ({ headers }) => String(headers.traceparent ?? ''), logger, interruptCalls: () => {} })
+  const shutdown = new GracefulShutdown({ ...settings, countKeyedCalls: () => keyedCalls.countRunning(), readCallId: ({ headers }) => String(headers.traceparent ?? ''), logger, interruptCalls: () => runningCalls.stop() })
   const reporter = new StatusReporter({
     view,
     gate,
--- a/src/target/TargetCall/index.ts
+++ b/src/target/TargetCall/index.ts
@@ -18,7 +18,7 @@
   estimate: number
   /** Latest time for the headers of the response; limits the wait for a slot too. */
   deadlineAtMs: number
-  /** Aborts when the caller disconnects. */
+  /** Aborts when the caller disconnects or the router interrupts the call. */
   signal: AbortSignal
   /** Allows another attempt after bytes were sent. */
   isIdempotent: boolean
