--- a/test/_lib/MemoryFileSystem/index.ts
+++ b/test/_lib/MemoryFileSystem/index.ts
@@ -10,6 +10,8 @@
 export class MemoryFileSystem implements FileSystem {
   /** Called before each operation that may change something. May throw to inject a fault. */
   onOperation: (name: string, path: string) => void = () => {}
+  /** Bytes that still fit on the disk. A write of more writes these, and then fails. */
+  freeBytes = Infinity
   #directoryEntries = new Map<string, MemoryFile>()
   #syncedDirectoryEntries = new Map<string, MemoryFile>()
 
@@ -43,7 +45,10 @@
     return {
       append: async bytes => {
         this.onOperation('append', path)
-        file.content = Buffer.concat([file.content, bytes])
+        const fitting = bytes.subarray(0, Math.min(bytes.length, this.freeBytes))
+        this.freeBytes -= fitting.length
+        file.content = Buffer.concat([file.content, fitting])
+        if (fitting.length < bytes.length) throw Object.assign(new Error('no space left on device'), { code: 'ENOSPC' })
       },
       truncate: async length => {
         this.onOperation('truncate', path)
