Refuse calls that no target has taken when little of a stop is left

Cause: a call that a stopping router had taken in time could wait for a placement or a connection until just before the limit, and was then sent to a target. It ended with "outcome unknown" within the same second, so that a call that must not be repeated was lost although another router could have run it.

Change: from three quarters of the time limit on (5.6 s at a grace of 8 s), calls of which no byte was sent and whose answer has not begun are refused as not run. The log of the drain counts them as refused.

--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -90,6 +90,13 @@
     }
   }
 
+  /** Ends the call as not run if no target has taken it, because little time is left at a stop. Returns whether it did. */
+  stopUnlessSent (): boolean {
+    if (this.#isInterrupted || this.#attempt?.exchange.isSent || this.#response.headersSent) return false
+    this.stop()
+    return true
+  }
+
   /** Ends the call with its final response, because the router stops. */
   stop (): void {
     this.#isInterrupted = true
--- a/src/instance/_lib/GracefulShutdown/index.ts
+++ b/src/instance/_lib/GracefulShutdown/index.ts
@@ -14,6 +14,8 @@
   /** Reads the id under which a call is logged. */
   readCallId: (request: IncomingMessage) => string
   logger: ComponentLogger
+  /** Refuses the calls that no target has taken, and returns their number. Called repeatedly in the last part of the time limit. */
+  refuseUnsentCalls?: () => number
   /** Ends the running calls with their final responses. Called shortly before the time limit. */
   interruptCalls: () => void
 }
@@ -21,13 +23,15 @@
 const POLL_INTERVAL_MS = 20
 /** Part of the time limit in which the final responses of interrupted calls are written. */
 const RESPONSE_MARGIN_MS = 300
+/** Part of the time limit after which a call that was not sent yet has too little time left for its answer. */
+const LAST_SEND_SHARE = 0.75
 /** Bounds the log line that lists the interrupted calls. */
 const MAX_LOGGED_CALLS = 50
 
 /**
  * Shuts down the HTTP server for callers. The router keeps serving during the lame-duck period; its responses close
- * their connections, so that callers reconnect to other routers. Requests that are still running shortly before the time
- * limit are interrupted: each gets a final response that says whether it may have run. Connections whose response is not
+ * their connections, so that callers reconnect to other routers. In the last part of the time limit, requests that no
+ * target has taken are refused. Requests that are still running shortly before the time limit are interrupted: each gets a final response that says whether it may have run. Connections whose response is not
  * written at the limit are closed.
  */
 export class GracefulShutdown {
@@ -61,7 +65,7 @@
   }
 
   async close (): Promise<void> {
-    const { lameDuckMs, stopTimeoutMs, logger, interruptCalls } = this.#options
+    const { lameDuckMs, stopTimeoutMs, logger, interruptCalls, refuseUnsentCalls = () => 0 } = this.#options
     const startedAtMs = performance.now()
     this.#startedAtMs = startedAtMs
     const deadlineAtMs = startedAtMs + stopTimeoutMs
@@ -69,16 +73,20 @@
     for (const response of this.#active.keys()) if (!response.headersSent) response.setHeader('connection', 'close')
     await wait(Math.min(lameDuckMs, stopTimeoutMs))
     this.#server?.close()
-    await this.#waitForCalls(deadlineAtMs - RESPONSE_MARGIN_MS)
+    const interruptAtMs = deadlineAtMs - RESPONSE_MARGIN_MS
+    await this.#waitForCalls(Math.min(startedAtMs + LAST_SEND_SHARE * stopTimeoutMs, interruptAtMs))
+    let refused = 0
+    await this.#waitForCalls(interruptAtMs, () => { refused += refuseUnsentCalls() })
     const interrupted = { interrupted: this.#countRunning(), requestIds: this.#listCallIds() }
     interruptCalls()
     await this.#waitForCalls(deadlineAtMs)
-    logger.info('The drain of callers has ended.', { durationMs: Math.round(performance.now() - startedAtMs), ...interrupted, cut: this.#countRunning() })
+    logger.info('The drain of callers has ended.', { durationMs: Math.round(performance.now() - startedAtMs), refused, ...interrupted, cut: this.#countRunning() })
     this.#server?.closeAllConnections()
   }
 
-  async #waitForCalls (deadlineAtMs: number): Promise<void> {
+  async #waitForCalls (deadlineAtMs: number, onPoll: () => void = () => {}): Promise<void> {
     while (this.#countRunning() > 0 && performance.now() < deadlineAtMs) {
+      onPoll()
       this.#server?.closeIdleConnections()
       await wait(POLL_INTERVAL_MS)
     }
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -97,7 +97,16 @@
   lifecycle.register('event loop monitor', () => monitor.close())
   const readCallId = ({ headers }: IncomingMessage): string => options.calls.readRequestHeaders(headers).id
   const calls = new Set<GatewayCall>()
-  const shutdown = new GracefulShutdown({ lameDuckMs: LAME_DUCK_MS, refuseAfterMs: REFUSE_AFTER_MS, stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS, countKeyedCalls: () => 0, readCallId, logger, interruptCalls: () => calls.forEach(call => call.stop()) })
+  const shutdown = new GracefulShutdown({
+    lameDuckMs: LAME_DUCK_MS,
+    refuseAfterMs: REFUSE_AFTER_MS,
+    stopTimeoutMs: settings.graceS * 1_000 - EXIT_MARGIN_MS,
+    countKeyedCalls: () => 0,
+    readCallId,
+    logger,
+    refuseUnsentCalls: () => [...calls].filter(call => call.stopUnlessSent()).length,
+    interruptCalls: () => calls.forEach(call => call.stop())
+  })
   const context: GatewayContext = {
     ...options,
     codec: options.calls,
