Limit accounts only while another one is short, and judge coverage with the request

Cause: an account without a competitor that asks more than it gets has exactly its fair share, and lost a part of the queues and slots.

Change: shareRatio is 0 while no account is below 0.8 of its due by more than a prompt. Coverage counts the request itself as served. Constants and the field are renamed (MIN_..., shareRatio).

--- a/src/routing/AccountShares/index.ts
+++ b/src/routing/AccountShares/index.ts
@@ -10,21 +10,32 @@
 interface Standing {
   /** Tokens that the account was served recently. */
   service: number
-  /** Service divided by the fair share: above 1, the account takes what others are due. 0 while all are served in full. */
-  excess: number
+  /** Service divided by the fair share: above 1, the account takes what others are due. 0 while no account is short. */
+  shareRatio: number
   /** Service divided by what the account is due, which is the less of its demand and the fair share. */
   coverage: number
 }
 
+interface FairShare {
+  /** Tokens that an account with unlimited demand is due, as of the reference time; Infinity while all are served in full. */
+  tokens: number
+  /** Whether an account is served clearly less than it is due. */
+  isAnyShort: boolean
+}
+
 /** Time constant of the exponential decay: after this time 37% of a request's tokens still count. */
 const DECAY_MS = 4_000
 /** Sums are kept as of a reference time, which is renewed after this time so that they stay within range. */
 const REFERENCE_TTL_MS = 40_000
 /** Accounts with less recent traffic are forgotten. */
 const MIN_TRAFFIC_TOKENS = 1
+/** An account is short if it gets less than this part of what it is due, even with the allowance added. */
+const SHORT_COVERAGE = 0.8
+/** About the size of a prompt: one that still waits, or was refused once, makes no account short. */
+const ALLOWANCE_TOKENS = 20_000
 /** A difference below one in a billion is a rounding error of the sums. */
-const ROUNDING = 1 - 1e-9
-/** Bounds the table that is sent to other processes. */
+const ROUNDING_FACTOR = 1 - 1e-9
+/** Bounds the table that is sent with the reply to each load report; about 2 kB. */
 const MAX_LISTED_ACCOUNTS = 64
 const NO_TRAFFIC: Readonly<Traffic> = { demand: 0, service: 0 }
 
@@ -43,14 +54,14 @@
  * shares.recordDemand('b', 100, nowMs)
  * shares.recordService('a', 500, nowMs)
  * shares.recordService('b', 50, nowMs)
- * shares.getStanding('b', nowMs) // { service: 50, excess: 0.11, coverage: 0.5 }
+ * shares.getStanding('b', nowMs) // { service: 50, shareRatio: 0, coverage: 0.5 }
  */
 export class AccountShares {
   /** Traffic as of the reference time. All sums decay alike, so the order of the accounts changes only with new traffic. */
   readonly #accounts = new Map<string, Traffic>()
   #referenceMs = 0
-  /** Fair share as of the reference time; undefined after new traffic. */
-  #fairShare: number | undefined
+  /** Undefined after new traffic. */
+  #fairShare: FairShare | undefined
 
   recordDemand (account: string, tokens: number, nowMs: number): void {
     const weight = this.#computeWeight(nowMs)
@@ -62,18 +73,23 @@
     this.#getTraffic(account).service += tokens * weight
   }
 
-  getStanding (account: string, nowMs: number): Standing {
+  /** Returns the standing of an account. Its coverage is that after a request of `pendingTokens` has been placed. */
+  getStanding (account: string, nowMs: number, { pendingTokens = 0 }: { pendingTokens?: number } = {}): Standing {
+    const weight = this.#computeWeight(nowMs)
+    const { tokens, isAnyShort } = this.#fairShare ??= this.#computeFairShare(weight)
     const { demand, service } = this.#accounts.get(account) ?? NO_TRAFFIC
-    this.#fairShare ??= this.#computeFairShare()
-    const due = Math.min(demand, this.#fairShare)
-    return { service: service / this.#computeWeight(nowMs), excess: service / this.#fairShare, coverage: due > 0 ? service / due : 1 }
+    const due = Math.min(demand, tokens)
+    return { service: service / weight, shareRatio: isAnyShort ? service / tokens : 0, coverage: due > 0 ? (service + pendingTokens * weight) / due : 1 }
   }
 
-  /** Lists the traffic of the accounts while some are served less than they request; otherwise the list is empty. */
+  /**
+   * Lists the traffic of the accounts while some are served less than they request. Otherwise the list is empty, and so are
+   * the tables that it replaces: without a shortage no account has to be compared.
+   */
   list (nowMs: number): AccountShare[] {
     const weight = this.#computeWeight(nowMs)
-    this.#fairShare ??= this.#computeFairShare()
-    if (this.#fairShare === Infinity) return []
+    this.#fairShare ??= this.#computeFairShare(weight)
+    if (this.#fairShare.tokens === Infinity) return []
     const rows = [...this.#accounts].map(([account, { demand, service }]): AccountShare => [account, Math.round(demand / weight), Math.round(service / weight)])
     return rows.filter(([, demand]) => demand >= MIN_TRAFFIC_TOKENS).sort((a, b) => b[1] - a[1]).slice(0, MAX_LISTED_ACCOUNTS)
   }
@@ -84,7 +100,7 @@
     this.merge(rows, nowMs)
   }
 
-  /** Adds a copy of the same fleet's table: the larger figure counts, because copies differ by their age only. */
+  /** Adds a copy of the same fleet's table: the larger figure counts, because copies differ by their age mostly. */
   merge (rows: readonly AccountShare[], nowMs: number): void {
     const weight = this.#computeWeight(nowMs)
     for (const [account, demand, service] of rows) {
@@ -122,14 +138,17 @@
     }
   }
 
-  #computeFairShare (): number {
+  #computeFairShare (weight: number): FairShare {
     const traffics = [...this.#accounts.values()].sort((a, b) => a.demand - b.demand)
     let undivided = traffics.reduce((sum, { demand, service }) => sum + Math.min(demand, service), 0)
     for (const [index, { demand }] of traffics.entries()) {
       const share = undivided / (traffics.length - index)
-      if (demand * ROUNDING > share) return Math.max(share, MIN_TRAFFIC_TOKENS)
+      if (demand * ROUNDING_FACTOR > share) {
+        const tokens = Math.max(share, MIN_TRAFFIC_TOKENS)
+        return { tokens, isAnyShort: traffics.some(traffic => traffic.service + ALLOWANCE_TOKENS * weight < SHORT_COVERAGE * Math.min(traffic.demand, tokens)) }
+      }
       undivided -= demand
     }
-    return Infinity
+    return { tokens: Infinity, isAnyShort: false }
   }
 }
--- a/src/routing/PromptScheduler/_lib/computeAdmissionLimits/index.ts
+++ b/src/routing/PromptScheduler/_lib/computeAdmissionLimits/index.ts
@@ -20,13 +20,14 @@
 
 /** Part of the time to the first event that every engine needs: transport, batching and the first token itself. */
 const FIRST_EVENT_OVERHEAD_MS = 120
-/** Up to this excess over its fair share an account may fill the queues of engines, and from the second one on least. */
-const FULL_ROOM_EXCESS = 0.8
-const LEAST_ROOM_EXCESS = 1.5
+/** An account that has got up to this part of its fair share may fill the queues of engines. */
+const FULL_ROOM_RATIO = 0.8
+/** An account that has got this many times its fair share has the least room. */
+const MIN_ROOM_RATIO = 1.5
 /** Engines work through the rest of their queue meanwhile, so none of them is idle because of the limit. */
-const LEAST_QUEUE_SHARE = 0.3
-const LEAST_SLOT_SHARE = 0.9
-/** An account with less of what it is due gets its prompts placed even if they are late: that is better than none. */
+const MIN_QUEUE_SHARE = 0.3
+const MIN_SLOT_SHARE = 0.9
+/** An account with less of what it is due gets its prompts placed even if they are late, because they fit nowhere in time. */
 const SHORT_COVERAGE = 0.7
 const SHORT_MAX_WAIT_MS = 400
 
@@ -34,14 +35,14 @@
  * Computes how much of an engine's queue and slots a request may use, from the standing of its client account. The room
  * shrinks as the account exceeds its fair share, so that accounts within theirs find room at every engine.
  */
-export function computeAdmissionLimits ({ objectiveMs, waitedMs, largePromptWaitMs }: AdmissionRequest, { excess, coverage }: { excess: number, coverage: number }): AdmissionLimits {
-  const room = Math.min(1, Math.max(0, (LEAST_ROOM_EXCESS - excess) / (LEAST_ROOM_EXCESS - FULL_ROOM_EXCESS)))
+export function computeAdmissionLimits ({ objectiveMs, waitedMs, largePromptWaitMs }: AdmissionRequest, { shareRatio, coverage }: { shareRatio: number, coverage: number }): AdmissionLimits {
+  const room = Math.min(1, Math.max(0, (MIN_ROOM_RATIO - shareRatio) / (MIN_ROOM_RATIO - FULL_ROOM_RATIO)))
   const timelyMs = objectiveMs - FIRST_EVENT_OVERHEAD_MS
   const lateWaitMs = coverage < SHORT_COVERAGE ? SHORT_MAX_WAIT_MS : largePromptWaitMs
   return {
     remainingMs: timelyMs - waitedMs,
     lateWaitMs,
-    queueMs: Math.max(lateWaitMs, timelyMs * (LEAST_QUEUE_SHARE + room * (1 - LEAST_QUEUE_SHARE))),
-    slotShare: LEAST_SLOT_SHARE + room * (1 - LEAST_SLOT_SHARE)
+    queueMs: Math.max(lateWaitMs, timelyMs * (MIN_QUEUE_SHARE + room * (1 - MIN_QUEUE_SHARE))),
+    slotShare: MIN_SLOT_SHARE + room * (1 - MIN_SLOT_SHARE)
   }
 }
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -214,7 +214,7 @@
     const candidates = this.#listCandidates(request, nowMs)
     if (candidates.length === 0) return { type: 'none' }
     const isLarge = Math.min(...candidates.map(({ nominalReadMs }) => nominalReadMs)) > LARGE_PROMPT_SHARE * request.objectiveMs
-    const standing = this.shares.getStanding(request.account, nowMs)
+    const standing = this.shares.getStanding(request.account, nowMs, { pendingTokens: computeCallTokens(request) })
     const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && this.#isLargePromptAllowed() ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
     const free = this.#listFree(candidates, { ...limits, service: standing.service })
     const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)), { maxRank: AFFINITY_TARGETS })
