Hand the prefill of running calls over at nominal speed

Cause: a call was reported to another scheduler with the prefill time scaled by the slowdown that the old one had learnt, and the new one took it for its own: 114 ms became 1,132 ms after a change of leader.

Change: RunningPlacement holds the time at nominal speed, and the verdict carries it beside the estimate. The sums of estimates move to computeEstimates.

--- a/src/contract/PlacementVerdict/index.ts
+++ b/src/contract/PlacementVerdict/index.ts
@@ -11,9 +11,9 @@
 export const PlacementVerdict = z.discriminatedUnion('type', [
   /**
    * `target` has room. The prompt waits there for about `waitMs` milliseconds and is read in about `readMs`
-   * milliseconds.
+   * milliseconds; at a target of nominal speed it would be read in `nominalReadMs`.
    */
-  z.object({ type: z.literal('place'), target: z.string(), waitMs: z.number(), readMs: z.number() }),
+  z.object({ type: z.literal('place'), target: z.string(), waitMs: z.number(), readMs: z.number(), nominalReadMs: z.number().optional() }),
   /**
    * No target can send the first event in time; the earliest one needs about `waitMs` + `readMs` milliseconds. A target
    * may have room after `retryAfterS` seconds.
--- a/src/contract/RunningPlacement/index.ts
+++ b/src/contract/RunningPlacement/index.ts
@@ -15,7 +15,7 @@
 export const RunningPlacement = z.object({
   request: PlacementRequest,
   target: z.string(),
-  /** Estimated milliseconds in which the target reads the prompt. */
+  /** Estimated milliseconds in which a target of nominal speed reads the prompt. */
   readMs: z.number(),
   /** Whether the target has read the prompt. */
   isRead: z.boolean()
--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -122,8 +122,8 @@
       this.#reporter.settle(request.id)
       if (verdict.type !== 'place') return decided
       this.#reporter.add(request.id, link)
-      const { target, waitMs, readMs } = verdict
-      this.#localScheduler.accept({ request, target, readMs, isRead: false }, performance.now(), { estimatedMs: waitMs + readMs, isCounted: true })
+      const { target, waitMs, readMs, nominalReadMs = readMs } = verdict
+      this.#localScheduler.accept({ request, target, readMs: nominalReadMs, isRead: false }, performance.now(), { estimatedMs: waitMs + readMs, isCounted: true })
       return decided
     } catch (error) {
       this.#options.logger.warn('The scheduler did not reply; this router decides by itself.', { scheduler: link.peer.instance, requestId: request.id, reason: String(error) })
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -14,6 +14,7 @@
 import type { Candidate } from './_lib/Candidate'
 import { chooseBest } from './_lib/chooseBest'
 import { computeAdmissionLimits } from './_lib/computeAdmissionLimits'
+import { computeEstimates } from './_lib/computeEstimates'
 import { findSoonest } from './_lib/findSoonest'
 import { formatCircuit } from './_lib/formatCircuit'
 import { hasOwnCapacity } from './_lib/hasOwnCapacity'
@@ -26,8 +27,6 @@
 }
 
 interface RunningCall extends TrackedCall {
-  /** Estimated prefill time at an engine of nominal speed. */
-  nominalReadMs: number
   /** Estimated time from the placement to the first event; undefined if this scheduler does not know the wait. */
   estimatedMs: number | undefined
 }
@@ -159,8 +158,7 @@
       this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
       this.shares.recordService(request.account, computeCallTokens(request), nowMs)
     }
-    const nominalReadMs = readMs / this.#slowdowns.getSlowdown(target, nowMs)
-    this.#start(request, { target, readMs, nominalReadMs, estimatedMs, isRead, isAdopted: true }, nowMs)
+    this.#start(request, { target, readMs, estimatedMs, isRead, isAdopted: true }, nowMs)
     if (isRead) this.#recordRead(this.#running.get(request.id)!, { nowMs, elapsedMs: undefined })
   }
 
@@ -173,7 +171,7 @@
     this.#options.crashMonitor.record(id, event, nowMs)
     if (event === 'read') return this.#recordRead(call, { nowMs, elapsedMs: elapsedMs ?? nowMs - call.startedMs })
     this.#running.delete(id)
-    this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.nominalReadMs })
+    this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.readMs })
     const circuit = formatCircuit(call.target, call.request.zone)
     if (event === 'unreachable') this.#circuits.open(circuit, nowMs)
     else if (event === 'lost') this.#circuits.recordFailure(circuit, nowMs)
@@ -188,22 +186,15 @@
     return [...this.#running.values()]
   }
 
-  /** Estimates that all placements are based on: outstanding prefill at nominal speed, and by how much it is scaled. */
-  getEstimates (nowMs: number): { pendingPrefillMs: number, maxPendingPrefillMs: number, maxSlowdown: number } {
-    const pending = [...this.#engines.values()].map(({ pendingPrefillMs }) => pendingPrefillMs)
-    const maxSlowdown = Math.max(1, ...[...this.#engines.keys()].map(id => this.#slowdowns.getSlowdown(id, nowMs)))
-    return { pendingPrefillMs: this.#computePendingPrefillMs(), maxPendingPrefillMs: Math.max(0, ...pending), maxSlowdown }
-  }
-
-  #computePendingPrefillMs (): number {
-    return [...this.#engines.values()].reduce((sum, { pendingPrefillMs }) => sum + pendingPrefillMs, 0)
+  getEstimates (nowMs: number): ReturnType<typeof computeEstimates> {
+    return computeEstimates(this.#engines, id => this.#slowdowns.getSlowdown(id, nowMs))
   }
 
   #recordRead (call: RunningCall, { nowMs, elapsedMs }: { nowMs: number, elapsedMs: number | undefined }): void {
     if (call.isRead) return
     call.isRead = true
     const { target, estimatedMs } = call
-    this.#engines.get(target)?.recordFirstEvent({ id: call.request.id, readMs: call.nominalReadMs }, nowMs)
+    this.#engines.get(target)?.recordFirstEvent({ id: call.request.id, readMs: call.readMs }, nowMs)
     if (estimatedMs !== undefined && elapsedMs !== undefined) this.#slowdowns.record(target, { estimatedMs, measuredMs: elapsedMs }, nowMs)
     this.#circuits.recordSuccess(formatCircuit(target, call.request.zone))
   }
@@ -214,8 +205,9 @@
     const candidates = this.#listCandidates(request, nowMs)
     if (candidates.length === 0) return { type: 'none' }
     const isLarge = Math.min(...candidates.map(({ nominalReadMs }) => nominalReadMs)) > LARGE_PROMPT_SHARE * request.objectiveMs
+    const isLargeAllowed = this.#largePrefills.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE_PROMPT))
     const standing = this.shares.getStanding(request.account, nowMs, { pendingTokens: computeCallTokens(request) })
-    const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && this.#isLargePromptAllowed() ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
+    const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && isLargeAllowed ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
     const free = this.#listFree(candidates, { ...limits, service: standing.service })
     const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)), { maxRank: AFFINITY_TARGETS })
     if (best) return this.#place(request, best, { nowMs, isLarge })
@@ -232,22 +224,18 @@
   #listFree (candidates: readonly Candidate[], { queueMs, slotShare, service }: { queueMs: number, slotShare: number, service: number }): Candidate[] {
     const share = this.#options.getLoadShare()
     const active = this.#ranking.list(candidates[0].target.service, '')
-    const ownLoad = { share, engines: active.length, slots: active.reduce((sum, { slots }) => sum + slots, 0), running: this.#running.size, pendingPrefillMs: this.#computePendingPrefillMs(), queueMs }
+    const ownLoad = { share, engines: active.length, slots: active.reduce((sum, { slots }) => sum + slots, 0), running: this.#running.size, pendingPrefillMs: share < 1 ? computeEstimates(this.#engines, () => 1).pendingPrefillMs : 0, queueMs }
     return candidates.filter(({ target, engine, waitMs, readMs }) => waitMs <= queueMs && engine.running < target.slots * share * slotShare &&
       hasOwnCapacity(ownLoad, readMs) && this.#reservations.isAvailable(target.id, service))
   }
 
-  #isLargePromptAllowed (): boolean {
-    return this.#largePrefills.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE_PROMPT))
-  }
-
   #place (request: PlacementRequest, { target, nominalReadMs, readMs, waitMs }: Candidate, { nowMs, isLarge }: { nowMs: number, isLarge: boolean }): PlacementVerdict {
     if (isLarge) this.#largePrefills.add(request.id)
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
-    this.#start(request, { target: target.id, readMs, nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
+    this.#start(request, { target: target.id, readMs: nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
     this.shares.recordService(request.account, computeCallTokens(request), nowMs)
     this.#options.crashMonitor.recordPlacement(request, target.id, nowMs)
-    return { type: 'place', target: target.id, waitMs, readMs }
+    return { type: 'place', target: target.id, waitMs, readMs, nominalReadMs }
   }
 
   #start (request: PlacementRequest, { target, isRead, ...estimates }: Omit<RunningCall, 'request' | 'startedMs'>, nowMs: number): void {
@@ -255,7 +243,7 @@
     const entry = this.#ranking.find(target)
     const engine = entry && this.#getEngine(entry)
     this.#running.set(request.id, { request, target, isRead: false, startedMs: nowMs, ...estimates })
-    engine?.start({ id: request.id, parts: request.parts, readMs: estimates.nominalReadMs }, nowMs)
+    engine?.start({ id: request.id, parts: request.parts, readMs: estimates.readMs }, nowMs)
   }
 
   #listCandidates ({ service, zone, parts, promptTokens, excluded }: PlacementRequest, nowMs: number): Candidate[] {
@@ -287,7 +275,7 @@
   /** Calls may run at the engine already: it has returned to the list of targets, or was not listed when they were adopted. */
   #createEngine (target: TargetEntry): EngineState {
     const engine = new EngineState(this.#options.getMemoryTokens(target.service) ?? Infinity)
-    for (const { request: { id, parts }, target: runningAt, nominalReadMs: readMs, isRead, startedMs } of this.#running.values()) {
+    for (const { request: { id, parts }, target: runningAt, readMs, isRead, startedMs } of this.#running.values()) {
       if (runningAt !== target.id) continue
       engine.start({ id, parts, readMs }, startedMs)
       if (isRead) engine.recordFirstEvent({ id, readMs }, startedMs)
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -28,6 +28,7 @@
   for (let i = 0; i < 3; i++) {
     const request = createRequest(changes)
     scheduler.request(request, 0)
+    scheduler.record(request.id, 'read', 0)
     scheduler.record(request.id, 'ended', 0)
   }
 }
