Bound the tokens that one call can count for

Callers would see: after one request that states 1e308 tokens, the sum of its account is Infinity, every router refuses the replies to its load reports, and all place prompts by themselves; with 1e15 tokens nobody is limited for a minute. A prompt of 1e160 tokens leaves an engine with a prefill that is not a number, and it takes nothing any more.

Cause: counts are taken as callers state them.

Change: a router passes on at most 10 million tokens in each count, and a scheduler counts a call for at most the memory of an engine, since engines reject larger prompts.

--- a/src/gateway/placeCall/index.ts
+++ b/src/gateway/placeCall/index.ts
@@ -29,6 +29,8 @@
   | Extract<AttemptResult, { type: 'blocked' }>
   | { type: 'no-target' }
 
+/** Callers state token counts, and no engine has memory for more. A larger count would outweigh all others in sums. */
+const MAX_TOKENS = 10_000_000
 /** Typical share of the maximum output tokens that is generated; used for callers that give no estimate. */
 const TYPICAL_OUTPUT_SHARE = 0.25
 
@@ -56,9 +58,12 @@
 
 async function placePrompt ({ metadata, account, service, objectiveMs, excluded }: PlaceCallOptions, context: GatewayContext): Promise<Placement> {
   const { placements, zone, findTarget, loads } = context
-  const { parts, promptTokens, outputTokens, outputHint } = metadata
+  const { outputTokens, outputHint } = metadata
+  const parts = metadata.parts.map(({ id, tokens }) => ({ id, tokens: Math.min(tokens, MAX_TOKENS) }))
+  const promptTokens = Math.min(metadata.promptTokens, MAX_TOKENS)
+  const estimatedOutput = Math.min(outputHint ?? outputTokens * TYPICAL_OUTPUT_SHARE, MAX_TOKENS)
   const id = String(nextId++)
-  const { verdict, scheduler } = await placements.request({ id, callId: metadata.id, account, service, zone, parts, promptTokens, outputTokens: outputHint ?? outputTokens * TYPICAL_OUTPUT_SHARE, objectiveMs, excluded: [...excluded] })
+  const { verdict, scheduler } = await placements.request({ id, callId: metadata.id, account, service, zone, parts, promptTokens, outputTokens: estimatedOutput, objectiveMs, excluded: [...excluded] })
   if (verdict.type === 'refuse') return { type: 'refused', retryAfterS: verdict.retryAfterS, estimate: createEstimate(verdict, scheduler) }
   if (verdict.type === 'blocked') return verdict
   const target = verdict.type === 'place' ? findTarget(verdict.target) : undefined
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -129,7 +129,7 @@
 
   /** Places or refuses a request. Returns undefined if the request has to wait; `step` then yields its verdict. */
   request (request: PlacementRequest, nowMs: number): PlacementVerdict | undefined {
-    this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
+    this.shares.recordDemand(request.account, this.#countTokens(request), nowMs)
     const verdict = this.#chooseVerdict({ request, sinceMs: nowMs }, nowMs)
     if (!verdict) this.#waiting.set(request.id, { request, sinceMs: nowMs })
     return verdict
@@ -155,8 +155,8 @@
   accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number, { estimatedMs, isCounted = false }: { estimatedMs?: number, isCounted?: boolean } = {}): void {
     if (this.#running.has(request.id)) return
     if (!isCounted) {
-      this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
-      this.shares.recordService(request.account, computeCallTokens(request), nowMs)
+      this.shares.recordDemand(request.account, this.#countTokens(request), nowMs)
+      this.shares.recordService(request.account, this.#countTokens(request), nowMs)
     }
     this.#start(request, { target, readMs, estimatedMs, isRead, isAdopted: true }, nowMs)
     if (isRead) this.#recordRead(this.#running.get(request.id)!, { nowMs, elapsedMs: undefined })
@@ -206,7 +206,7 @@
     if (candidates.length === 0) return { type: 'none' }
     const isLarge = Math.min(...candidates.map(({ nominalReadMs }) => nominalReadMs)) > LARGE_PROMPT_SHARE * request.objectiveMs
     const isLargeAllowed = this.#largePrefills.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE_PROMPT))
-    const standing = this.shares.getStanding(request.account, nowMs, { pendingTokens: computeCallTokens(request) })
+    const standing = this.shares.getStanding(request.account, nowMs, { pendingTokens: this.#countTokens(request) })
     const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && isLargeAllowed ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
     const free = this.#listFree(candidates, { ...limits, service: standing.service })
     const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)), { maxRank: AFFINITY_TARGETS })
@@ -233,7 +233,7 @@
     if (isLarge) this.#largePrefills.add(request.id)
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
     this.#start(request, { target: target.id, readMs: nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
-    this.shares.recordService(request.account, computeCallTokens(request), nowMs)
+    this.shares.recordService(request.account, this.#countTokens(request), nowMs)
     this.#options.crashMonitor.recordPlacement(request, target.id, nowMs)
     return { type: 'place', target: target.id, waitMs, readMs, nominalReadMs }
   }
@@ -263,6 +263,11 @@
     })
   }
 
+  /** No call counts for more than the memory of an engine, because engines reject larger ones. */
+  #countTokens (request: PlacementRequest): number {
+    return computeCallTokens(request, { maxTokens: this.#options.getMemoryTokens(request.service) })
+  }
+
   #getEngine (target: TargetEntry): EngineState {
     let engine = this.#engines.get(target.id)
     if (!engine) {
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -123,6 +123,14 @@
     expect(scheduler.request(createRequest({ account: 'rare', shared: 'other', ownTokens: 3_000 }), 204)).toBeUndefined()
   })
 
+  // Guards against one call with a false count of tokens that makes the traffic of all others look small.
+  it('counts no call for more tokens than an engine has memory', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    scheduler.request(createRequest({ account: 'a', promptTokens: 1e15 }), 0)
+    scheduler.shares.recordDemand('other', 900, 0)
+    expect(scheduler.shares.list(0)).toEqual([['a', 444_000, 444_000], ['other', 900, 0]])
+  })
+
   // Guards against accounts with few requests, which would count as short at each of them and make engines late.
   it('places no late prompt of an account that was served in full', () => {
     const scheduler = createScheduler([createTarget('t1')])
