Take back the service of calls that end before they are read

Cause: a call was charged to its account when it was placed, also if its target could not be reached or refused it. An account whose engines crash counted as served and gave way to others.

Change: the end of a call that has not been read takes its service back, and that of an unreachable target also its demand, because the router requests it again.

Result: the new test of PromptScheduler fails without the change (demand and service of three calls, where one was read).

--- a/src/routing/AccountShares/index.ts
+++ b/src/routing/AccountShares/index.ts
@@ -63,14 +63,18 @@
   /** Undefined after new traffic. */
   #fairShare: FairShare | undefined
 
-  recordDemand (account: string, tokens: number, nowMs: number): void {
-    const weight = this.#computeWeight(nowMs)
-    this.#getTraffic(account).demand += tokens * weight
+  /** Adds tokens of a request that arrives now, or takes back those of one that arrived at the given time (negative). */
+  recordDemand (account: string, tokens: number, atMs: number): void {
+    const weight = this.#computeWeight(atMs)
+    const traffic = this.#getTraffic(account)
+    traffic.demand = Math.max(0, traffic.demand + tokens * weight)
   }
 
-  recordService (account: string, tokens: number, nowMs: number): void {
-    const weight = this.#computeWeight(nowMs)
-    this.#getTraffic(account).service += tokens * weight
+  /** Adds tokens of a request that is placed now, or takes back those of one that was placed at the given time (negative). */
+  recordService (account: string, tokens: number, atMs: number): void {
+    const weight = this.#computeWeight(atMs)
+    const traffic = this.#getTraffic(account)
+    traffic.service = Math.max(0, traffic.service + tokens * weight)
   }
 
   /** Returns the standing of an account. Its coverage is that after a request of `pendingTokens` has been placed. */
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -171,6 +171,7 @@
     this.#options.crashMonitor.record(id, event, nowMs)
     if (event === 'read') return this.#recordRead(call, { nowMs, elapsedMs: elapsedMs ?? nowMs - call.startedMs })
     this.#running.delete(id)
+    if (!call.isRead) this.#removeCharge(call, event)
     this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.readMs })
     const circuit = formatCircuit(call.target, call.request.zone)
     if (event === 'unreachable') this.#circuits.open(circuit, nowMs)
@@ -263,6 +264,13 @@
     })
   }
 
+  /** A call that has not begun to run is no service. If its target could not be reached, the router requests it again. */
+  #removeCharge ({ request, startedMs }: RunningCall, event: ProgressEvent): void {
+    const tokens = this.#countTokens(request)
+    this.shares.recordService(request.account, -tokens, startedMs)
+    if (event === 'unreachable') this.shares.recordDemand(request.account, -tokens, startedMs)
+  }
+
   /** No call counts for more than the memory of an engine, because engines reject larger ones. */
   #countTokens (request: PlacementRequest): number {
     return computeCallTokens(request, { maxTokens: this.#options.getMemoryTokens(request.service) })
--- a/src/routing/PromptScheduler/test.ts
+++ b/src/routing/PromptScheduler/test.ts
@@ -123,6 +123,20 @@
     expect(scheduler.request(createRequest({ account: 'rare', shared: 'other', ownTokens: 3_000 }), 204)).toBeUndefined()
   })
 
+  // Guards against an account whose targets crash or refuse its calls, and which then counts as served.
+  it('takes back the service of calls that end before they are read', () => {
+    const scheduler = createScheduler([createTarget('t1')])
+    const standing = () => scheduler.shares.list(0).find(([account]) => account === 'a')
+    scheduler.shares.recordDemand('other', 900, 0)
+    const [unreachable, expired, read] = [createRequest(), createRequest(), createRequest()]
+    for (const request of [unreachable, expired, read]) scheduler.request(request, 0)
+    scheduler.record(unreachable.id, 'unreachable', 5)
+    scheduler.record(expired.id, 'ended', 5)
+    scheduler.record(read.id, 'read', 5)
+    scheduler.record(read.id, 'ended', 6)
+    expect(standing()).toEqual(['a', 2 * 16_200, 16_200])
+  })
+
   // Guards against one call with a false count of tokens that makes the traffic of all others look small.
   it('counts no call for more tokens than an engine has memory', () => {
     const scheduler = createScheduler([createTarget('t1')])
