Compute what the replies to load reports contain at most every 50 ms

The comparison of tracked calls was a warning each second in normal operation.

Change: the list is cached like that of suspects. The comparison is a warning only if more than half of the tracked calls differ, which calls that begin or end between two reports do not explain.

--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -36,8 +36,10 @@
 const AdoptedSuspects = z.array(SuspectPart)
 const AdoptedShares = z.array(AccountShare)
 const TRACKING_LOG_INTERVAL_MS = 1_000
-/** The list of suspects is computed at most this often, because each load report of each router is answered with it. */
-const SUSPECTS_INTERVAL_MS = 50
+/** Differences that calls which begin or end between two reports explain, as a share of the tracked calls. */
+const MAX_EXPECTED_DIFFERENCE = 0.5
+/** What the replies to load reports contain is computed at most this often, because every router gets it four times a second. */
+const SUMMARY_INTERVAL_MS = 50
 const TRAFFIC_LOG_INTERVAL_MS = 1_000
 /** Number of accounts with the smallest share, and of accounts with the most placed tokens, in a log line. */
 const MAX_LOGGED_ACCOUNTS = 5
@@ -60,6 +62,7 @@
   readonly #verdicts = { place: 0, refuse: 0, blocked: 0, none: 0 }
   #targets: readonly TargetEntry[] = []
   #suspects: { list: SuspectPart[], atMs: number } = { list: [], atMs: -Infinity }
+  #shares: { list: AccountShare[], atMs: number } = { list: [], atMs: -Infinity }
 
   constructor (options: PlacementServiceOptions) {
     this.#options = options
@@ -88,6 +91,7 @@
       ['adoptShares', body => {
         this.#checkLeader('decide on prompts')
         this.#scheduler.shares.merge(AdoptedShares.parse(body), performance.now())
+        this.#shares.atMs = -Infinity
       }]
     ])
   }
@@ -95,13 +99,15 @@
   /** Suspected prompt parts for the routers. Their block times are up to 50 ms old. */
   getSuspects (): readonly SuspectPart[] {
     const nowMs = performance.now()
-    if (nowMs - this.#suspects.atMs > SUSPECTS_INTERVAL_MS) this.#suspects = { list: selectSuspects(this.quarantine.list(nowMs), { max: MAX_SHARED_SUSPECTS }), atMs: nowMs }
+    if (nowMs - this.#suspects.atMs > SUMMARY_INTERVAL_MS) this.#suspects = { list: selectSuspects(this.quarantine.list(nowMs), { max: MAX_SHARED_SUSPECTS }), atMs: nowMs }
     return this.#suspects.list
   }
 
-  /** Recent traffic of the client accounts for the routers; empty while all are served in full. */
+  /** Recent traffic of the client accounts for the routers, up to 50 ms old; empty while all are served in full. */
   getShares (): AccountShare[] {
-    return this.#scheduler.shares.list(performance.now())
+    const nowMs = performance.now()
+    if (nowMs - this.#shares.atMs > SUMMARY_INTERVAL_MS) this.#shares = { list: this.#scheduler.shares.list(nowMs), atMs: nowMs }
+    return this.#shares.list
   }
 
   /** All suspected prompt parts. Throws `not-leader` if this replica does not lead. */
@@ -160,6 +166,7 @@
     this.quarantine.replace([], performance.now())
     this.#traffic.clear()
     this.#suspects = { list: [], atMs: -Infinity }
+    this.#shares = { list: [], atMs: -Infinity }
     const { getMemoryTokens, logger } = this.#options
     const crashMonitor = new CrashMonitor({ quarantine: this.quarantine, logger })
     this.#scheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1, crashMonitor, random: Math.random, startedMs: performance.now() })
@@ -233,12 +240,13 @@
     if (!this.#options.isLeader()) throw new AppError('not-leader', `This replica is not the leader, so it does not ${purpose}.`)
   }
 
-  /** Writes a warning, because the lines about decisions use up the rate of other lines. */
+  /** Writes a warning if the difference is more than the calls of a report interval explain, because info lines may be dropped. */
   #logTracking (): void {
     if (!this.#options.isLeader()) return
     const { worst, maxSlowdown, ...tracking } = this.getTracking()
     const rounded = Object.fromEntries(Object.entries(tracking).map(([name, value]) => [name, Math.round(value)]))
-    this.#options.logger.warn('Tracked calls were compared with load reports.', { ...rounded, maxSlowdown: Number(maxSlowdown.toFixed(2)), routers: this.#routers.size, worst })
+    const level = tracking.surplus + tracking.missing > MAX_EXPECTED_DIFFERENCE * (tracking.tracked + 1) ? 'warn' : 'info'
+    this.#options.logger[level]('Tracked calls were compared with load reports.', { ...rounded, maxSlowdown: Number(maxSlowdown.toFixed(2)), routers: this.#routers.size, worst })
   }
 }
 
