Charge a call that a router placed by itself until a scheduler knows it

Cause: a call was marked as charged when it was reported. A replica that did not lead dropped the report, and the next one took the call as charged, so its service counted nowhere.

Change: the call counts as charged once a reply to a load report no longer names it as unknown.

Result: the new test of PlacementReporter fails without the change.

--- a/src/gateway/PlacementReporter/index.ts
+++ b/src/gateway/PlacementReporter/index.ts
@@ -14,6 +14,8 @@
   /** Link to the scheduler that knows the call; undefined if this router placed it by itself. */
   link: Link | undefined
   placedAtMs: number
+  /** Whether a scheduler of the fleet has charged the call to its account. */
+  isCounted: boolean
 }
 
 /**
@@ -62,7 +64,7 @@
 
   /** Adds a placed call with the link to the scheduler that placed it; undefined if this router did. */
   add (id: string, link: Link | undefined): void {
-    this.#calls.set(id, { link, placedAtMs: performance.now() })
+    this.#calls.set(id, { link, placedAtMs: performance.now(), isCounted: link !== undefined })
   }
 
   /** Reports the progress of a call to the scheduler that knows it. */
@@ -84,8 +86,10 @@
     return this.#sendCalls(unknown, link)
   }
 
-  /** Reports calls that the scheduler does not know, as far as they still run. */
+  /** Reports calls that the scheduler does not know, as far as they still run. It has charged the others to their accounts. */
   report (unknownIds: readonly string[], link: Link): void {
+    const unknown = new Set(unknownIds)
+    for (const [id, call] of this.#calls) if (call.link === link && !unknown.has(id)) call.isCounted = true
     if (unknownIds.some(id => this.#calls.has(id))) this.#sendCalls(unknownIds, link)
   }
 
@@ -104,9 +108,8 @@
 
   #createAdopted (placement: RunningPlacement, link: Link): AdoptedPlacement {
     const call = this.#calls.get(placement.request.id)
-    const isCounted = call?.link !== undefined
     if (call) call.link = link
-    return { ...placement, isCounted }
+    return { ...placement, isCounted: call?.isCounted ?? false }
   }
 
   #sendProgress (): void {
--- a/src/gateway/PlacementReporter/test.ts
+++ b/src/gateway/PlacementReporter/test.ts
@@ -45,6 +45,18 @@
     expect(sent).toHaveLength(3)
   })
 
+  // Guards against a call that no scheduler charges to its account, because a replica that did not lead dropped the report.
+  it('counts a call as charged only when the scheduler knows it', () => {
+    const { link, sent } = createLink()
+    const reporter = createReporter(['1'])
+    reporter.add('1', undefined)
+    reporter.register(link)
+    reporter.report(['1'], link)
+    reporter.report([], link)
+    reporter.report(['1'], link)
+    expect(sent.map(([, body]) => (body as Array<{ isCounted: boolean }>).map(({ isCounted }) => isCounted))).toEqual([[false], [false], [true]])
+  })
+
   it('counts the events of calls whose scheduler is lost', () => {
     const { link, sent } = createLink()
     const reporter = createReporter([])
