--- a/src/gateway/PlacementReporter/index.ts
+++ b/src/gateway/PlacementReporter/index.ts
@@ -1,3 +1,4 @@
+import type { AdoptedPlacement } from '../../contract/AdoptedPlacement'
 import type { PlacementProgress } from '../../contract/PlacementProgress'
 import type { RunningPlacement } from '../../contract/RunningPlacement'
 import type { Link } from '../../link/Link'
@@ -13,6 +14,8 @@
   /** Link to the scheduler that knows the call; undefined if this router placed it by itself. */
   link: Link | undefined
   placedAtMs: number
+  /** Whether a scheduler of the fleet has charged the call to its account. */
+  isCounted: boolean
 }
 
 /**
@@ -61,7 +64,7 @@
 
   /** Adds a placed call with the link to the scheduler that placed it; undefined if this router did. */
   add (id: string, link: Link | undefined): void {
-    this.#calls.set(id, { link, placedAtMs: performance.now() })
+    this.#calls.set(id, { link, placedAtMs: performance.now(), isCounted: link !== undefined })
   }
 
   /** Reports the progress of a call to the scheduler that knows it. */
@@ -83,8 +86,10 @@
     return this.#sendCalls(unknown, link)
   }
 
-  /** Reports calls that the scheduler does not know, as far as they still run. */
+  /** Reports calls that the scheduler does not know, as far as they still run. It has charged the others to their accounts. */
   report (unknownIds: readonly string[], link: Link): void {
+    const unknown = new Set(unknownIds)
+    for (const [id, call] of this.#calls) if (call.link === link && !unknown.has(id)) call.isCounted = true
     if (unknownIds.some(id => this.#calls.has(id))) this.#sendCalls(unknownIds, link)
   }
 
@@ -97,14 +102,16 @@
   #sendCalls (ids: readonly string[], link: Link): number {
     const wanted = new Set(ids)
     const running = wanted.size === 0 ? [] : this.#listRunning().filter(({ request }) => wanted.has(request.id))
-    link.send('adoptPlacements', running)
-    for (const { request } of running) {
-      const call = this.#calls.get(request.id)
-      if (call) call.link = link
-    }
+    link.send('adoptPlacements', running.map(placement => this.#createAdopted(placement, link)))
     return running.length
   }
 
+  #createAdopted (placement: RunningPlacement, link: Link): AdoptedPlacement {
+    const call = this.#calls.get(placement.request.id)
+    if (call) call.link = link
+    return { ...placement, isCounted: call?.isCounted ?? false }
+  }
+
   #sendProgress (): void {
     const byLink = new Map<Link, PlacementProgress>()
     for (const { row, link } of this.#progress) {
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -14,6 +14,11 @@
 import type { Candidate } from './_lib/Candidate'
 import { chooseBest } from './_lib/chooseBest'
 import { computeAdmissionLimits } from './_lib/computeAdmissionLimits'
+import { computeEstimates } from './_lib/computeEstimates'
+import { findSoonest } from './_lib/findSoonest'
+import { formatCircuit } from './_lib/formatCircuit'
+import { hasOwnCapacity } from './_lib/hasOwnCapacity'
+import { isAdmissible } from './_lib/isAdmissible'
 import { TargetRanking } from './_lib/TargetRanking'
 
 interface WaitingRequest {
@@ -22,8 +27,6 @@
 }
 
 interface RunningCall extends TrackedCall {
-  /** Estimated prefill time at an engine of nominal speed. */
-  nominalReadMs: number
   /** Estimated time from the placement to the first event; undefined if this scheduler does not know the wait. */
   estimatedMs: number | undefined
 }
@@ -126,7 +129,7 @@
 
   /** Places or refuses a request. Returns undefined if the request has to wait; `step` then yields its verdict. */
   request (request: PlacementRequest, nowMs: number): PlacementVerdict | undefined {
-    this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
+    this.shares.recordDemand(request.account, this.#countTokens(request), nowMs)
     const verdict = this.#chooseVerdict({ request, sinceMs: nowMs }, nowMs)
     if (!verdict) this.#waiting.set(request.id, { request, sinceMs: nowMs })
     return verdict
@@ -145,12 +148,17 @@
     }
   }
 
-  /** Adds a running call that another scheduler placed, with that one's estimate of the time to the first event if known. */
-  accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number, { estimatedMs }: { estimatedMs?: number } = {}): void {
+  /**
+   * Adds a running call that another scheduler placed, with that one's estimate of the time to the first event if known.
+   * The call is charged to its account unless the shares contain it already (`isCounted`).
+   */
+  accept ({ request, target, readMs, isRead }: RunningPlacement, nowMs: number, { estimatedMs, isCounted = false }: { estimatedMs?: number, isCounted?: boolean } = {}): void {
     if (this.#running.has(request.id)) return
-    this.shares.recordDemand(request.account, computeCallTokens(request), nowMs)
-    const nominalReadMs = readMs / this.#slowdowns.getSlowdown(target, nowMs)
-    this.#start(request, { target, readMs, nominalReadMs, estimatedMs, isRead, isAdopted: true }, nowMs)
+    if (!isCounted) {
+      this.shares.recordDemand(request.account, this.#countTokens(request), nowMs)
+      this.shares.recordService(request.account, this.#countTokens(request), nowMs)
+    }
+    this.#start(request, { target, readMs, estimatedMs, isRead, isAdopted: true }, nowMs)
     if (isRead) this.#recordRead(this.#running.get(request.id)!, { nowMs, elapsedMs: undefined })
   }
 
@@ -163,7 +171,8 @@
     this.#options.crashMonitor.record(id, event, nowMs)
     if (event === 'read') return this.#recordRead(call, { nowMs, elapsedMs: elapsedMs ?? nowMs - call.startedMs })
     this.#running.delete(id)
-    this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.nominalReadMs })
+    if (!call.isRead) this.#removeCharge(call, event)
+    this.#engines.get(call.target)?.stop({ id, parts: call.request.parts, readMs: call.readMs })
     const circuit = formatCircuit(call.target, call.request.zone)
     if (event === 'unreachable') this.#circuits.open(circuit, nowMs)
     else if (event === 'lost') this.#circuits.recordFailure(circuit, nowMs)
@@ -178,18 +187,15 @@
     return [...this.#running.values()]
   }
 
-  /** Estimates that all placements are based on: outstanding prefill at nominal speed, and by how much it is scaled. */
-  getEstimates (nowMs: number): { pendingPrefillMs: number, maxPendingPrefillMs: number, maxSlowdown: number } {
-    const pending = [...this.#engines.values()].map(({ pendingPrefillMs }) => pendingPrefillMs)
-    const slowdowns = [...this.#engines.keys()].map(id => this.#slowdowns.getSlowdown(id, nowMs))
-    return { pendingPrefillMs: pending.reduce((sum, ms) => sum + ms, 0), maxPendingPrefillMs: Math.max(0, ...pending), maxSlowdown: Math.max(1, ...slowdowns) }
+  getEstimates (nowMs: number): ReturnType<typeof computeEstimates> {
+    return computeEstimates(this.#engines, id => this.#slowdowns.getSlowdown(id, nowMs))
   }
 
   #recordRead (call: RunningCall, { nowMs, elapsedMs }: { nowMs: number, elapsedMs: number | undefined }): void {
     if (call.isRead) return
     call.isRead = true
     const { target, estimatedMs } = call
-    this.#engines.get(target)?.recordFirstEvent({ id: call.request.id, readMs: call.nominalReadMs }, nowMs)
+    this.#engines.get(target)?.recordFirstEvent({ id: call.request.id, readMs: call.readMs }, nowMs)
     if (estimatedMs !== undefined && elapsedMs !== undefined) this.#slowdowns.record(target, { estimatedMs, measuredMs: elapsedMs }, nowMs)
     this.#circuits.recordSuccess(formatCircuit(target, call.request.zone))
   }
@@ -200,13 +206,12 @@
     const candidates = this.#listCandidates(request, nowMs)
     if (candidates.length === 0) return { type: 'none' }
     const isLarge = Math.min(...candidates.map(({ nominalReadMs }) => nominalReadMs)) > LARGE_PROMPT_SHARE * request.objectiveMs
-    const standing = this.shares.getStanding(request.account, nowMs)
-    const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && this.#isLargePromptAllowed() ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
-    const loadShare = this.#options.getLoadShare()
-    const free = candidates.filter(({ target, engine, waitMs }) => waitMs <= limits.queueMs && engine.running < target.slots * loadShare * limits.slotShare && this.#reservations.isAvailable(target.id, standing.service))
+    const isLargeAllowed = this.#largePrefills.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE_PROMPT))
+    const standing = this.shares.getStanding(request.account, nowMs, { pendingTokens: this.#countTokens(request) })
+    const limits = computeAdmissionLimits({ objectiveMs: request.objectiveMs, waitedMs: nowMs - sinceMs, largePromptWaitMs: isLarge && isLargeAllowed ? LARGE_PROMPT_MAX_WAIT_MS : 0 }, standing)
+    const free = this.#listFree(candidates, { ...limits, service: standing.service })
     const best = chooseBest(free.filter(candidate => isAdmissible(candidate, limits)), { maxRank: AFFINITY_TARGETS })
-    if (best && isLarge) this.#largePrefills.add(request.id)
-    if (best) return this.#place(request, best, nowMs)
+    if (best) return this.#place(request, best, { nowMs, isLarge })
     if (nowMs - sinceMs < MAX_WAIT_MS) {
       const soonest = free.length > 0 ? findSoonest(free) : undefined
       if (soonest && soonest.readMs <= MAX_RESERVATION_READ_MS) this.#reservations.add(soonest.target.id, standing.service)
@@ -216,15 +221,22 @@
     return { type: 'refuse', retryAfterS: RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * this.#options.random(), waitMs, readMs }
   }
 
-  #isLargePromptAllowed (): boolean {
-    return this.#largePrefills.size < Math.max(1, Math.floor(this.#engines.size / ENGINES_PER_LARGE_PROMPT))
+  /** Lists the candidates that have room for a prompt of an account that was served so many tokens. */
+  #listFree (candidates: readonly Candidate[], { queueMs, slotShare, service }: { queueMs: number, slotShare: number, service: number }): Candidate[] {
+    const share = this.#options.getLoadShare()
+    const active = this.#ranking.list(candidates[0].target.service, '')
+    const ownLoad = { share, engines: active.length, slots: active.reduce((sum, { slots }) => sum + slots, 0), running: this.#running.size, pendingPrefillMs: share < 1 ? computeEstimates(this.#engines, () => 1).pendingPrefillMs : 0, queueMs }
+    return candidates.filter(({ target, engine, waitMs, readMs }) => waitMs <= queueMs && engine.running < target.slots * share * slotShare &&
+      hasOwnCapacity(ownLoad, readMs) && this.#reservations.isAvailable(target.id, service))
   }
 
-  #place (request: PlacementRequest, { target, nominalReadMs, readMs, waitMs }: Candidate, nowMs: number): PlacementVerdict {
+  #place (request: PlacementRequest, { target, nominalReadMs, readMs, waitMs }: Candidate, { nowMs, isLarge }: { nowMs: number, isLarge: boolean }): PlacementVerdict {
+    if (isLarge) this.#largePrefills.add(request.id)
     this.#circuits.tryAcquire(formatCircuit(target.id, request.zone), nowMs)
-    this.#start(request, { target: target.id, readMs, nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
+    this.#start(request, { target: target.id, readMs: nominalReadMs, estimatedMs: waitMs + readMs, isRead: false, isAdopted: false }, nowMs)
+    this.shares.recordService(request.account, this.#countTokens(request), nowMs)
     this.#options.crashMonitor.recordPlacement(request, target.id, nowMs)
-    return { type: 'place', target: target.id, waitMs, readMs }
+    return { type: 'place', target: target.id, waitMs, readMs, nominalReadMs }
   }
 
   #start (request: PlacementRequest, { target, isRead, ...estimates }: Omit<RunningCall, 'request' | 'startedMs'>, nowMs: number): void {
@@ -232,8 +244,7 @@
     const entry = this.#ranking.find(target)
     const engine = entry && this.#getEngine(entry)
     this.#running.set(request.id, { request, target, isRead: false, startedMs: nowMs, ...estimates })
-    this.shares.recordService(request.account, computeCallTokens(request), nowMs)
-    engine?.start({ id: request.id, parts: request.parts, readMs: estimates.nominalReadMs }, nowMs)
+    engine?.start({ id: request.id, parts: request.parts, readMs: estimates.readMs }, nowMs)
   }
 
   #listCandidates ({ service, zone, parts, promptTokens, excluded }: PlacementRequest, nowMs: number): Candidate[] {
@@ -253,6 +264,18 @@
     })
   }
 
+  /** A call that has not begun to run is no service. If its target could not be reached, the router requests it again. */
+  #removeCharge ({ request, startedMs }: RunningCall, event: ProgressEvent): void {
+    const tokens = this.#countTokens(request)
+    this.shares.recordService(request.account, -tokens, startedMs)
+    if (event === 'unreachable') this.shares.recordDemand(request.account, -tokens, startedMs)
+  }
+
+  /** No call counts for more than the memory of an engine, because engines reject larger ones. */
+  #countTokens (request: PlacementRequest): number {
+    return computeCallTokens(request, { maxTokens: this.#options.getMemoryTokens(request.service) })
+  }
+
   #getEngine (target: TargetEntry): EngineState {
     let engine = this.#engines.get(target.id)
     if (!engine) {
@@ -265,7 +288,7 @@
   /** Calls may run at the engine already: it has returned to the list of targets, or was not listed when they were adopted. */
   #createEngine (target: TargetEntry): EngineState {
     const engine = new EngineState(this.#options.getMemoryTokens(target.service) ?? Infinity)
-    for (const { request: { id, parts }, target: runningAt, nominalReadMs: readMs, isRead, startedMs } of this.#running.values()) {
+    for (const { request: { id, parts }, target: runningAt, readMs, isRead, startedMs } of this.#running.values()) {
       if (runningAt !== target.id) continue
       engine.start({ id, parts, readMs }, startedMs)
       if (isRead) engine.recordFirstEvent({ id, readMs }, startedMs)
@@ -273,18 +296,3 @@
     return engine
   }
 }
-
-/** Whether the prefill is predicted to end in time, or the wait is within the limit for late prompts (0 for most). */
-function isAdmissible ({ waitMs, readMs }: Candidate, limits: { remainingMs: number, lateWaitMs: number }): boolean {
-  return waitMs + readMs <= limits.remainingMs || waitMs <= limits.lateWaitMs
-}
-
-/** The candidate whose prefill is predicted to end first. */
-function findSoonest (candidates: readonly Candidate[]): Candidate {
-  return candidates.reduce((least, next) => next.waitMs + next.readMs < least.waitMs + least.readMs ? next : least)
-}
-
-/** Circuits are kept per target and zone, because a target may be unreachable from one zone only. */
-function formatCircuit (target: string, zone: string): string {
-  return `${target} ${zone}`
-}
