Name the bounds of late placements, and describe when accounts are limited

Cause: two modules had a constant of the same name with different values, and the description of PromptScheduler left out that limits hold only while an account is short. Replacing the table by an empty one also discards the cached share.

--- a/src/routing/AccountShares/index.ts
+++ b/src/routing/AccountShares/index.ts
@@ -101,6 +101,7 @@
   /** Takes over the table of the scheduler that knows all requests. */
   replace (rows: readonly AccountShare[], nowMs: number): void {
     this.#accounts.clear()
+    this.#fairShare = undefined
     this.merge(rows, nowMs)
   }
 
--- a/src/routing/PromptScheduler/_lib/computeAdmissionLimits/index.ts
+++ b/src/routing/PromptScheduler/_lib/computeAdmissionLimits/index.ts
@@ -28,8 +28,9 @@
 const MIN_QUEUE_SHARE = 0.3
 const MIN_SLOT_SHARE = 0.9
 /** An account with less of what it is due gets its prompts placed even if they are late, because they fit nowhere in time. */
-const SHORT_COVERAGE = 0.7
-const SHORT_MAX_WAIT_MS = 400
+const LATE_PLACEMENT_COVERAGE = 0.7
+/** Maximum estimated wait of such a late prompt. */
+const LATE_PLACEMENT_WAIT_MS = 400
 
 /**
  * Computes how much of an engine's queue and slots a request may use, from the standing of its client account. The room
@@ -38,7 +39,7 @@
 export function computeAdmissionLimits ({ objectiveMs, waitedMs, largePromptWaitMs }: AdmissionRequest, { shareRatio, coverage }: { shareRatio: number, coverage: number }): AdmissionLimits {
   const room = Math.min(1, Math.max(0, (MIN_ROOM_RATIO - shareRatio) / (MIN_ROOM_RATIO - FULL_ROOM_RATIO)))
   const timelyMs = objectiveMs - FIRST_EVENT_OVERHEAD_MS
-  const lateWaitMs = coverage < SHORT_COVERAGE ? SHORT_MAX_WAIT_MS : largePromptWaitMs
+  const lateWaitMs = coverage < LATE_PLACEMENT_COVERAGE ? LATE_PLACEMENT_WAIT_MS : largePromptWaitMs
   return {
     remainingMs: timelyMs - waitedMs,
     lateWaitMs,
--- a/src/routing/PromptScheduler/index.ts
+++ b/src/routing/PromptScheduler/index.ts
@@ -79,10 +79,11 @@
  * becomes hot. A prompt is placed only where its first event is predicted to be on time, given the outstanding prefill
  * work of each engine, so that engines never build up a backlog in which every request is late. Exceptions: an engine
  * without outstanding prefill takes a prompt of any size, and a limited number of large prompts wait for a short
- * outstanding prefill. The nearer a client account comes to its fair share, the less of an engine's queue its prompts may
- * use, and prompts of an account that is short of its share are placed even if they are late. Waiting requests of the
- * account with the least recent service go first, and the next free capacity of an engine is reserved for them. Prompts
- * are placed at engines that have cached their shared parts (cache affinity). The class does no I/O and reads no clock; times are milliseconds of a monotonic clock.
+ * outstanding prefill. While an account is short of its max-min fair share, the prompts of accounts that are near or
+ * beyond theirs may use less of an engine's queue, and its own prompts are placed even if they are late. Waiting requests
+ * of the account with the least recent service go first, and the next free capacity of an engine is reserved for them.
+ * Prompts are placed at engines that have cached their shared parts (cache affinity). The class does no I/O and reads no
+ * clock; times are milliseconds of a monotonic clock.
  *
  * @param options - Memory of engines, share of the load, crash monitor, source of random numbers and start time.
  *
