--- a/src/routing/RouteTable/test.ts
+++ b/src/routing/RouteTable/test.ts
@@ -4,7 +4,7 @@
 const createRoute = (name: string, pathPrefix: string, host = 'a.example') => ({ name, host, pathPrefix, kind: 'idempotent', timeoutMs: 1000, split: [{ service: 's', weight: 1 }] })
 const table = new RouteTable(RouteDocument.parse({
   version: 1,
-  routes: [createRoute('short', '/a/'), createRoute('long', '/a/b/'), createRoute('other', '/', 'b.example')],
+  routes: [createRoute('short', '/a/'), createRoute('long', '/a/b/'), createRoute('word', '/a/bo'), createRoute('other', '/', 'b.example')],
   services: [{ name: 's' }],
   accounts: [{ name: 'team', keys: ['k1', 'k2'] }]
 }))
@@ -14,6 +14,10 @@
   it.each([
     ['a.example', '/a/x', 'short'],
     ['a.example', '/a/b/x', 'long'],
+    ['a.example', '/a/bo', 'word'],
+    ['a.example', '/a/book/x', 'word'],
+    ['a.example', '/a/b/c/d?x=/a/', 'long'],
+    ['b.example', '', undefined],
     ['A.Example:8080', '/a/b/', 'long'],
     ['a.example', '/a?b/', undefined],
     ['a.example', '/c/', undefined],
