Refuse at its arrival what a hot router can not begin in time

Change: LoopClock measures how long input has waited for the event loop, from the marks of its iterations; CallAdmission predicts from it when a response could begin and refuses what would be late, accounts with more than an equal share first; OverloadGate sends the refusal before a body is read or an object for the call exists. Refused tokens are reported as demand. Request lines have readMs, iterationMs and busyMs, refusals one line for each half second; a histogram read_delay_seconds. A busy event loop that refuses counts as overloaded. The event loop is sampled only while requests or readiness checks arrive.

--- a/src/contract/HeaderCodec/index.ts
+++ b/src/contract/HeaderCodec/index.ts
@@ -23,6 +23,8 @@
  * const metadata = codec.readRequestHeaders(request.headers)
  */
 export interface HeaderCodec {
+  /** Reads the API key of a caller's request. The names in `headers` are in lower case. */
+  readApiKey: (headers: Readonly<Record<string, string | string[] | undefined>>) => string | undefined
   /** Reads the headers of a caller's request. The names in `headers` are in lower case. */
   readRequestHeaders: (headers: Readonly<Record<string, string | string[] | undefined>>) => RequestMetadata
   /**
--- a/src/contract/LoadReport/index.ts
+++ b/src/contract/LoadReport/index.ts
@@ -15,6 +15,8 @@
   /** Whether the router has more work than processor time, and asks to leave the rotation of the load balancer. */
   isOverloaded: z.boolean().default(false),
   /** Ids of all placement requests of the router that wait for a verdict or run; unset if the router does not tell. */
-  placements: z.array(z.string()).optional()
+  placements: z.array(z.string()).optional(),
+  /** Rows of client account and tokens of the requests that the router refused since its last report, because of its load. */
+  refusedTokens: z.array(z.tuple([z.string(), z.number().nonnegative()])).default([])
 })
 export type LoadReport = z.infer<typeof LoadReport>
--- a/src/gateway/CallRecord/index.ts
+++ b/src/gateway/CallRecord/index.ts
@@ -6,6 +6,7 @@
 import { formatTraceparent } from '../../telemetry/formatTraceparent'
 import type { Hop } from '../../telemetry/Hop'
 import { parseTraceparent } from '../../telemetry/parseTraceparent'
+import type { LoopClock } from '../LoopClock'
 import type { ComponentLogger } from '../../telemetry/ComponentLogger'
 import type { Tracer } from '../../telemetry/Tracer'
 
@@ -22,6 +23,7 @@
   tracer: Tracer
 }
 
+type Delay = ReturnType<LoopClock['observe']>
 type Span = ReturnType<Tracer['startSpan']>
 
 /** The estimates that the placement is based on. */
@@ -51,17 +53,19 @@
  *
  * @description
  * When a request ends, one line is logged with its id, route, client account, version of the route document, the target
- * and result of each attempt, times, and the outcome. The span `request` contains the spans `queue`, `dispatch` and
+ * and result of each attempt, times, and the outcome. `readMs` is how long the request had waited before the router read
+ * it, which `durationMs` does not contain, and `iterationMs` the duration of an event loop iteration then. The span `request` contains the spans `queue`, `dispatch` and
  * `stream` of each attempt.
  *
  * @example
- * const record = new CallRecord(metadata, { logger, metrics, tracer })
+ * const record = new CallRecord(metadata, { logger, metrics, tracer }, { readMs: 0, iterationMs: 0, busyMs: 0 })
  * record.startAttempt()
  * record.close({ outcome: 'complete', status: 200 })
  */
 export class CallRecord {
   readonly #metadata: RequestMetadata
   readonly #options: CallRecordOptions
+  readonly #delay: Delay
   readonly #span: Span
   readonly arrivedAtMs = performance.now()
   readonly #attempts: Attempt[] = []
@@ -72,7 +76,8 @@
   /** Span of the current hop of the request. */
   #hop: Span | undefined
 
-  constructor (metadata: RequestMetadata, options: CallRecordOptions) {
+  constructor (metadata: RequestMetadata, options: CallRecordOptions, delay: Delay) {
+    this.#delay = delay
     this.#metadata = metadata
     this.#options = options
     this.#span = options.tracer.startSpan('request', { parent: parseTraceparent(metadata.traceparent), attributes: { 'papayalead.request_id': metadata.id } })
@@ -118,12 +123,13 @@
     const durationMs = this.#getElapsedMs()
     metrics.observeRequest({ service: this.#service, outcome, kind })
     metrics.observeResponse(this.#service, durationMs / 1e3)
+    metrics.observeReadDelay(this.#delay.readMs / 1e3)
     this.#hop?.stop(kind)
     this.#span.setAttributes({ 'http.response.status_code': status, 'papayalead.outcome': outcome })
     this.#span.stop(kind)
     const { id, deadlineMs, unreadable } = this.#metadata
     const unreadableHeaders = unreadable.length > 0 ? unreadable : undefined
-    logger.info('A request ended.', { requestId: id, ...this.#admission, deadlineMs, unreadableHeaders, attempts: this.#attempts, durationMs, outcome, status, kind, reason })
+    logger.info('A request ended.', { requestId: id, ...this.#admission, deadlineMs, unreadableHeaders, attempts: this.#attempts, readMs: Math.round(this.#delay.readMs), iterationMs: Math.round(this.#delay.iterationMs), busyMs: Math.round(this.#delay.busyMs), durationMs, outcome, status, kind, reason })
   }
 
   #startHop (hop: Hop, attributes?: Record<string, string>): void {
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -14,11 +14,13 @@
 import { ResponseWriter } from '../ResponseWriter'
 import { CallAttempt } from '../CallAttempt'
 import { CallRecord } from '../CallRecord'
+import type { LoopClock } from '../LoopClock'
 import { placeCall } from '../placeCall'
 import type { GatewayContext } from '../GatewayContext'
 import { sendCallError } from '../sendCallError'
 
 type Placement = Extract<Awaited<ReturnType<typeof placeCall>>, { type: 'place' }>
+type Delay = ReturnType<LoopClock['observe']>
 type Plan = ReturnType<typeof planAttempts>
 type NextAttempt = Extract<ReturnType<Plan['next']>, { done?: false }>['value']
 type Conclusion = Extract<ReturnType<Plan['next']>, { done: true }>['value']
@@ -42,6 +44,8 @@
 const RESUME_OBJECTIVE_MS = 5_000
 /** A caller that leaves while its call waits less than this for a placement is noticed early enough to cancel the call. */
 const CLOSE_CHECK_AFTER_MS = 100
+/** Stands for this router in estimates. */
+const LOCAL_SCHEDULER = 'local'
 
 /**
  * @name GatewayCall
@@ -53,7 +57,7 @@
  * ends with exactly one response or with a closed connection, and with one log line.
  *
  * @example
- * await new GatewayCall(request, response, context).run()
+ * await new GatewayCall(request, response, context, delay).run()
  */
 export class GatewayCall {
   readonly #request: IncomingMessage
@@ -70,13 +74,14 @@
   /** Resolves when the router interrupts the call. */
   readonly #interruption = new Promise<undefined>(resolve => { this.#stopWaiting = () => resolve(undefined) })
 
-  constructor (request: IncomingMessage, response: ServerResponse, context: GatewayContext) {
+  /** `delay`: how long the request has waited to be read. */
+  constructor (request: IncomingMessage, response: ServerResponse, context: GatewayContext, delay: Delay) {
     this.#request = request
     this.#response = response
     this.#context = context
     this.#writer = new ResponseWriter(response)
     this.#metadata = context.codec.readRequestHeaders(request.headers)
-    this.#record = new CallRecord(this.#metadata, context)
+    this.#record = new CallRecord(this.#metadata, context, delay)
   }
 
   async run (): Promise<void> {
@@ -105,13 +110,11 @@
   }
 
   async #admit (): Promise<AdmittedCall> {
-    const { getTable, retryBudget, getShedRetryAfterS, isRefusing } = this.#context
+    const { getTable, retryBudget, isRefusing } = this.#context
     const metadata = this.#metadata
     if (isRefusing()) throw createShutdownError()
     const table = getTable()
     if (!table) throw new AppError('control-unavailable', 'This router has not received a route document yet.', { retryAfterS: RETRY_AFTER_S })
-    const shedRetryAfterS = getShedRetryAfterS()
-    if (shedRetryAfterS !== undefined) throw new AppError('no-target', 'The request has not run: this router is overloaded.', { retryAfterS: shedRetryAfterS })
     const route = table.findRoute(this.#request.headers.host ?? '', this.#request.url ?? '/')
     if (!route) throw new AppError('not-found', 'No route matches the host and path of the request.')
     const account = metadata.apiKey === undefined ? undefined : table.findAccount(metadata.apiKey)
@@ -130,7 +133,7 @@
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable)
     this.#response.once('close', () => this.#handleClose(route))
     const timer = setTimeout(() => this.#expire(), Math.max(1, call.deadlineAtMs - performance.now()))
-    await waitForClose()
+    if (!this.#isPrompt(call)) await waitForClose()
     const { retryBudget, loads } = this.#context
     const plan = planAttempts({ isRetryable, maxAttempts: route.maxAttempts, tryTakeRetry: () => retryBudget.tryTake(service, { routers: loads.routers, nowMs: performance.now() }) })
     let step = plan.next()
@@ -166,10 +169,16 @@
   async #place (call: AdmittedCall, next: NextAttempt): ReturnType<typeof placeCall> {
     const startedAtMs = performance.now()
     const placement = await placeCall(this.#createPlaceCallOptions(call, next), this.#context)
-    if (performance.now() - startedAtMs > CLOSE_CHECK_AFTER_MS) await waitForClose()
+    const isImmediate = 'estimate' in placement && placement.estimate?.scheduler === LOCAL_SCHEDULER
+    if (isImmediate || performance.now() - startedAtMs > CLOSE_CHECK_AFTER_MS) await waitForClose()
     return placement
   }
 
+  /** Whether a scheduler places the call: a close of the caller is then read before its reply. */
+  #isPrompt ({ service, table }: AdmittedCall): boolean {
+    return this.#metadata.parts.length > 0 && table.findService(service)?.engine !== undefined
+  }
+
   #createPlaceCallOptions ({ service, route, account, table }: AdmittedCall, { excluded, lastEventId }: NextAttempt): Parameters<typeof placeCall>[0] {
     const elapsedMs = performance.now() - this.#record.arrivedAtMs
     const objectiveMs = lastEventId === undefined ? (route.objectiveMs ?? DEFAULT_OBJECTIVE_MS) - elapsedMs : RESUME_OBJECTIVE_MS
--- a/src/gateway/GatewayContext/index.ts
+++ b/src/gateway/GatewayContext/index.ts
@@ -16,7 +16,7 @@
  * @summary Dependencies that all requests of a router share.
  *
  * @example
- * new GatewayCall(request, response, context).run()
+ * new GatewayCall(request, response, context, delay).run()
  */
 export interface GatewayContext {
   codec: HeaderCodec
@@ -30,11 +30,6 @@
   /** Selects the targets of calls to services without engines. */
   selector: LeastLoadedSelector
   loads: TargetLoads
-  /**
-   * Seconds after which to retry a call that is refused at this moment, because this router has more work than processor
-   * time; undefined if calls are accepted.
-   */
-  getShedRetryAfterS: () => number | undefined
   /** Whether the router stops and must refuse new calls. */
   isRefusing: () => boolean
   connections: TargetConnections
--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -4,17 +4,12 @@
 const WINDOW_MS = 2_000
 /** An event loop with a higher utilization is busy. A process that was paused from outside has a low utilization. */
 const BUSY_UTILIZATION = 0.9
-/** A sample of a busy event loop is late if its timer is delayed by more than this: callers have to wait. */
+/** A sample of a busy event loop is late if its timer is delayed by more than this, or if requests were refused in it. */
 const LATE_TIMER_MS = 30
 /** Sum of the late intervals in the window above which the router becomes overloaded. */
 const OVERLOAD_MS = 1_000
 /** Value to which this sum has to fall before an overloaded router has recovered (hysteresis). */
 const RECOVERY_MS = 200
-/**
- * Calls are shed while the current iteration of a busy event loop is late by more than this: the calls that it reads have
- * already waited as long, and others are queued behind them.
- */
-const SHED_LATE_MS = 50
 /**
  * Time after which the load balancer has taken an unready router out of rotation: it checks readiness once a second and
  * acts after two failed checks.
@@ -28,6 +23,8 @@
   delayMs: number
   /** Share of the interval in which the event loop was not idle, 0 to 1. */
   utilization: number
+  /** Requests that were refused in the interval because of the load of the router. */
+  refusals?: number
 }
 
 /**
@@ -37,11 +34,10 @@
  *
  * @description
  * Handles the load of one caller whose requests all reach the same router: one iteration of the event loop takes
- * seconds, in which no connection is accepted, while the other routers are idle. Calls beyond the capacity of an iteration
- * are refused as not run, so that a retry can reach a router with free capacity. A router that reports that it is not
+ * seconds, in which no connection is accepted, while the other routers are idle. A router that reports that it is not
  * ready gets no new connections; an overloaded router does so only with a permit, because all routers may be overloaded
- * at once. Once the load balancer has taken the router out of rotation, the refusals also close their connections, so
- * that the router keeps only as many callers as it can serve.
+ * at once. Once the load balancer has taken the router out of rotation, refusals should close their connections, so that
+ * the router keeps only as many callers as it can serve.
  *
  * @example
  * const detector = new OverloadDetector()
@@ -53,7 +49,6 @@
 export class OverloadDetector {
   readonly #samples: Array<{ atMs: number, lateMs: number }> = []
   #isOverloaded = false
-  #isBusy = false
   /** When the permit to leave the rotation was first granted in this overload, and when it was last renewed. */
   #permit: { sinceMs: number, renewedAtMs: number } | undefined
 
@@ -77,15 +72,9 @@
     return this.isLeaving(nowMs) && nowMs - this.#permit!.sinceMs > OUT_OF_ROTATION_MS
   }
 
-  /** Whether new calls should be refused and retried at another router, given the delay of the next sample so far. */
-  isShedding (lateMs: number): boolean {
-    return this.#isBusy && lateMs > SHED_LATE_MS
-  }
-
   /** Adds a sample and returns whether `isOverloaded` changed. */
-  addSample ({ intervalMs, delayMs, utilization }: LoopSample, nowMs: number): boolean {
-    this.#isBusy = utilization > BUSY_UTILIZATION
-    const isLate = this.#isBusy && delayMs > LATE_TIMER_MS
+  addSample ({ intervalMs, delayMs, utilization, refusals = 0 }: LoopSample, nowMs: number): boolean {
+    const isLate = utilization > BUSY_UTILIZATION && (delayMs > LATE_TIMER_MS || refusals > 0)
     this.#samples.push({ atMs: nowMs, lateMs: isLate ? intervalMs : 0 })
     while (nowMs - this.#samples[0].atMs > WINDOW_MS) this.#samples.shift()
     const lateMs = this.#samples.reduce((sum, sample) => sum + sample.lateMs, 0)
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -1,23 +1,38 @@
-import type { Server, ServerResponse } from 'node:http'
+import { CallAdmission } from '../../../gateway/CallAdmission'
+import { LoopClock } from '../../../gateway/LoopClock'
 import { OverloadDetector } from '../../../gateway/OverloadDetector'
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 
 const SAMPLE_INTERVAL_MS = 50
+/** An event loop with a higher utilization has little time left. */
+const BUSY_UTILIZATION = 0.6
 /** Short, because the retry of the caller reaches another router, which can serve it at once. */
 const ROUTER_RETRY_AFTER_S = 0.05
 /** An overloaded router without a permit to leave the rotation is one of many: a retry would reach another one of them. */
 const FLEET_RETRY_AFTER_S = 0.5
 
 /**
- * Samples the delay and the utilization of the event loop from `start` to `close`, and closes callers' connections to a
- * server while the router is overloaded.
+ * Samples the delay and the utilization of the event loop while requests and readiness checks
+ * arrive, so that an idle process is not woken.
  */
 export class EventLoopMonitor {
+  readonly admission = new CallAdmission()
+  readonly #clock = new LoopClock({
+    now: () => performance.now(),
+    getIdleMs: () => performance.nodeTiming.idleTime,
+    countIterations: () => performance.nodeTiming.uvMetricsInfo.loopCount,
+    onIterationEnd: callback => { setImmediate(callback) },
+    onIteration: (durationMs, isBusy) => this.admission.addIteration(durationMs, { isBusy })
+  })
+
   readonly #detector = new OverloadDetector()
   readonly #logger: ComponentLogger
   #utilization = performance.eventLoopUtilization()
-  #sampledAtMs = performance.now()
+  #sampledAtMs = 0
   #timer: NodeJS.Timeout | undefined
+  #arrivals = 0
+  #refusals = 0
+  #isBusy = false
   #overloads = 0
   #longestIterationMs = 0
 
@@ -29,12 +44,17 @@
     return this.#detector.isOverloaded
   }
 
+  /** Whether the event loop had little time left in the newest sample. */
+  get isBusy (): boolean {
+    return this.#isBusy && this.#timer !== undefined
+  }
+
   /** How often the router became overloaded. */
   get overloads (): number {
     return this.#overloads
   }
 
-  /** Duration of the longest event loop iteration, accurate to the interval of the samples. */
+  /** Duration of the longest event loop iteration while requests arrived, accurate to the interval of the samples. */
   get longestIterationMs (): number {
     return this.#longestIterationMs
   }
@@ -44,54 +64,70 @@
     return this.#detector.isLeaving(performance.now())
   }
 
+  /** Whether the router is out of rotation, so that callers which reconnect reach another router. */
+  get isOutOfRotation (): boolean {
+    return this.#detector.isOutOfRotation(performance.now())
+  }
+
+  /** Seconds after which to retry a call that is refused now because of the load of this router. */
+  get retryAfterS (): number {
+    return this.isOverloaded && !this.isLeaving ? FLEET_RETRY_AFTER_S : ROUTER_RETRY_AFTER_S
+  }
+
   /** Renews or ends the permit of this router to leave the rotation. */
   setPermit (isGranted: boolean): void {
     this.#detector.setPermit(isGranted, performance.now())
   }
 
-  /**
-   * Seconds after which to retry a call that arrives now and is refused, because the current event loop iteration already
-   * takes too long; undefined if the call is accepted.
-   */
-  getShedRetryAfterS (): number | undefined {
-    if (!this.#isShedding()) return undefined
-    return this.isOverloaded && !this.isLeaving ? FLEET_RETRY_AFTER_S : ROUTER_RETRY_AFTER_S
+  /** Samples the event loop from now on, until no request arrives any more. */
+  watch (): void {
+    this.#arrivals++
+    if (!this.#timer) this.#startSamples()
   }
 
-  start (): void {
-    this.#sampledAtMs = performance.now()
-    this.#timer = setTimeout(() => {
-      this.#addSample()
-      this.start()
-    }, SAMPLE_INTERVAL_MS)
+  /** Records that a request was refused because of the load of this router. */
+  recordRefusal (): void {
+    this.#refusals++
   }
 
-  /**
-   * Closes the connections of refused calls, but only once this router is out of rotation, so that callers that reconnect
-   * reach another router.
-   */
-  closeShedConnections (server: Server): void {
-    server.prependListener('request', (_request, response: ServerResponse) => {
-      if (this.#detector.isOutOfRotation(performance.now()) && this.#isShedding()) response.setHeader('connection', 'close')
-    })
+  /** Measures how long a request that is read now has waited. */
+  observe (): ReturnType<LoopClock['observe']> {
+    this.watch()
+    return this.#clock.observe()
   }
 
   close (): void {
     clearTimeout(this.#timer)
   }
 
-  #isShedding (): boolean {
-    return this.#detector.isShedding(performance.now() - this.#sampledAtMs - SAMPLE_INTERVAL_MS)
+  #startSamples (): void {
+    this.#sampledAtMs = performance.now()
+    this.#utilization = performance.eventLoopUtilization()
+    this.#scheduleSample()
+  }
+
+  #scheduleSample (): void {
+    this.#timer = setTimeout(() => {
+      this.#addSample()
+      const isNeeded = this.#arrivals > 0 || this.isOverloaded
+      this.#arrivals = 0
+      this.#timer = undefined
+      if (isNeeded) this.#scheduleSample()
+    }, SAMPLE_INTERVAL_MS)
   }
 
   #addSample (): void {
     const nowMs = performance.now()
     const intervalMs = nowMs - this.#sampledAtMs
+    this.#sampledAtMs = nowMs
     const newest = performance.eventLoopUtilization()
     const { utilization } = performance.eventLoopUtilization(newest, this.#utilization)
     this.#utilization = newest
     this.#longestIterationMs = Math.max(this.#longestIterationMs, intervalMs - SAMPLE_INTERVAL_MS)
-    if (!this.#detector.addSample({ intervalMs, delayMs: intervalMs - SAMPLE_INTERVAL_MS, utilization }, nowMs)) return
+    this.#isBusy = utilization > BUSY_UTILIZATION
+    const refusals = this.#refusals
+    this.#refusals = 0
+    if (!this.#detector.addSample({ intervalMs, delayMs: intervalMs - SAMPLE_INTERVAL_MS, utilization, refusals }, nowMs)) return
     if (this.#detector.isOverloaded) this.#overloads++
     if (this.#detector.isOverloaded) this.#logger.error('The router is overloaded; it asks to leave the rotation.', { turnMs: Math.round(intervalMs) })
     else this.#logger.warn('The router is no longer overloaded.')
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -176,10 +176,11 @@
   }
 
   /**
-   * Records that a router is alive, and ends the requests that it does not name. Returns the ids of those that it names
-   * and the scheduler does not know.
+   * Records that a router is alive and what it refused, and ends the requests that it does not name. Returns the ids of
+   * those that it names and the scheduler does not know.
    */
-  observeRouter (link: Link, report: Pick<LoadReport, 'targets' | 'placements'>): string[] {
+  observeRouter (link: Link, report: Pick<LoadReport, 'targets' | 'placements'> & Partial<Pick<LoadReport, 'refusedTokens'>>): string[] {
+    for (const [account, tokens] of report.refusedTokens ?? []) this.#scheduler.shares.recordDemand(account, tokens, performance.now())
     const engines = new Set(this.#targets.filter(({ service }) => this.#options.getMemoryTokens(service) !== undefined).map(({ id }) => id))
     const reported = report.targets.reduce((sum, [target, running]) => engines.has(target) ? sum + running : sum, 0)
     return this.#routers.observe(link, { placements: report.placements, reported })
--- a/src/instance/registerGatewayMetrics/index.ts
+++ b/src/instance/registerGatewayMetrics/index.ts
@@ -12,6 +12,8 @@
   countOverloads: () => number
   /** Duration in milliseconds of the longest event loop iteration since the start. */
   getLongestIterationMs: () => number
+  /** Requests that were refused since the start because of the load of the router. */
+  countRefusals: () => number
   /** Prompt parts whose requests this router refuses. */
   countBlockedParts: () => number
   /** Placements that were refused because of a blocked prompt part since the start. */
@@ -41,6 +43,7 @@
   register('gateway_document_decode_seconds', 'Time that the newest route document took to decode.', () => state.getDecodeMs() / MS_PER_S)
   register('gateway_overloads_total', 'How often the router became overloaded.', state.countOverloads)
   register('gateway_longest_iteration_seconds', 'Longest event loop iteration since the start.', () => state.getLongestIterationMs() / MS_PER_S)
+  register('gateway_overload_refusals_total', 'Requests that were refused because of the load of the router.', state.countRefusals)
   register('gateway_blocked_parts', 'Prompt parts whose requests the router refuses because targets crash under them.', state.countBlockedParts)
   register('gateway_blocked_requests_total', 'Placements that were refused because of a blocked prompt part.', state.countBlockedCalls)
   register('gateway_unsent_progress_total', 'Events of placed prompts that could not be sent to the scheduler.', state.countUnsentProgress)
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { IncomingMessage, Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { HeaderCodec } from '../../contract/HeaderCodec'
 import type { DocumentCodec } from '../../contract/DocumentCodec'
 import type { GatewaySettings } from '../../contract/GatewaySettings'
@@ -8,6 +8,7 @@
 import type { TargetEntry } from '../../contract/TargetEntry'
 import { GatewayCall } from '../../gateway/GatewayCall'
 import type { GatewayContext } from '../../gateway/GatewayContext'
+import { OverloadGate } from '../../gateway/OverloadGate'
 import { PlacementClient } from '../../gateway/PlacementClient'
 import { LeastLoadedSelector } from '../../gateway/LeastLoadedSelector'
 import { TargetConnections } from '../../gateway/TargetConnections'
@@ -93,8 +94,18 @@
   const connections = new TargetConnections()
   lifecycle.register('target connections', () => connections.close())
   const monitor = new EventLoopMonitor(logger)
-  monitor.start()
   lifecycle.register('event loop monitor', () => monitor.close())
+  const gate = new OverloadGate({
+    clock: monitor,
+    admission: monitor.admission,
+    codec: options.calls,
+    getTable: () => routeTable,
+    getRetryAfterS: () => monitor.retryAfterS,
+    isClosing: () => monitor.isOutOfRotation,
+    onRefused: () => monitor.recordRefusal(),
+    logger
+  })
+  lifecycle.register('overload gate', () => gate.close())
   const readCallId = ({ headers }: IncomingMessage): string => options.calls.readRequestHeaders(headers).id
   const calls = new Set<GatewayCall>()
   const shutdown = new GracefulShutdown({
@@ -114,7 +125,6 @@
     retryBudget: new FleetRetryBudget(settings.retries),
     getTable: () => routeTable,
     findTarget: id => directory.find(id),
-    getShedRetryAfterS: () => monitor.getShedRetryAfterS(),
     isRefusing: () => shutdown.isRefusing,
     placements,
     selector,
@@ -141,7 +151,7 @@
     placements.setTargets(entries)
     logger.info('The list of targets changed.', { targets: entries.length, draining: entries.filter(({ isDraining }) => isDraining).length })
   }
-  const registry = createRegistryClient(settings, { logger, loads, monitor, placements, onDocument: handleDocument, onTargets: handleTargets })
+  const registry = createRegistryClient(settings, { logger, loads, monitor, gate, placements, onDocument: handleDocument, onTargets: handleTargets })
   registry.start()
   lifecycle.register('registry', () => registry.close())
   const reader = createFallbackReader(registry, { source: options.source, onRead: handleTargets, logger })
@@ -164,24 +174,32 @@
     getDecodeMs: () => decodeMs,
     countOverloads: () => monitor.overloads,
     getLongestIterationMs: () => monitor.longestIterationMs,
+    countRefusals: () => gate.refused,
     countBlockedParts: () => placements.countBlockedParts(),
     countBlockedCalls: () => placements.blockedCalls,
     countUnsentProgress: () => placements.unsentProgress
   })
-  await startReadinessServer(settings.ready, { isReady: () => readiness.isReady(), metrics, lifecycle })
+  const checkReadiness = (): boolean => {
+    monitor.watch()
+    return readiness.isReady()
+  }
+  await startReadinessServer(settings.ready, { isReady: checkReadiness, metrics, lifecycle })
   const running = { addSeeds: (hosts: readonly string[]) => registry.addReplicas(hosts) }
   if (lifecycle.isClosing) return running
   // Registered before the listener opens, so that a stop finds every connection that was accepted.
   lifecycle.register('HTTP server', () => shutdown.close())
+  const handleRequest = (request: IncomingMessage, response: ServerResponse): Promise<void> | undefined => {
+    const delay = gate.tryAdmit(request, response)
+    return delay && runCall(new GatewayCall(request, response, context, delay), calls)
+  }
   const front = await startHttpServer(settings.front, [
-    { method: 'all', path: '*', handler: (request, response) => runCall(new GatewayCall(request, response, context), calls) }
+    { method: 'all', path: '*', handler: handleRequest }
   ], {
     onCreate: server => {
       frontServer = server
       server.requestTimeout = 0
       applyLimits()
       shutdown.watch(server)
-      monitor.closeShedConnections(server)
     }
   })
   logger.info('Started.', { port: front.address.port })
@@ -198,10 +216,11 @@
   logger: ComponentLogger
   loads: TargetLoads
   monitor: EventLoopMonitor
+  gate: OverloadGate
   placements: PlacementClient
 }
 
-function createRegistryClient (settings: GatewaySettings, { logger, loads, monitor, placements, onDocument, onTargets }: CreateRegistryClientOptions): RegistryClient {
+function createRegistryClient (settings: GatewaySettings, { logger, loads, monitor, gate, placements, onDocument, onTargets }: CreateRegistryClientOptions): RegistryClient {
   const identity: LinkIdentity = { instance: settings.instance.toLowerCase(), incarnation: randomUUID(), zone: settings.zone, role: 'router' }
   return new RegistryClient({
     seeds: settings.seeds.map(({ host }) => host),
@@ -210,7 +229,7 @@
     logger,
     onDocument,
     onTargets,
-    createReport: () => ({ targets: loads.createReport(), isOverloaded: monitor.isOverloaded, placements: placements.listRequests() }),
+    createReport: () => ({ targets: loads.createReport(), isOverloaded: monitor.isOverloaded, placements: placements.listRequests(), refusedTokens: gate.takeDemand() }),
     onSummary: (summary, link) => {
       placements.applySummary(summary, link)
       loads.setPeerLoads(summary, performance.now())
--- a/src/telemetry/Metrics/index.ts
+++ b/src/telemetry/Metrics/index.ts
@@ -30,6 +30,8 @@
   observeRequest: (request: { service: string, outcome: Outcome, kind?: ErrorKind }) => void
   observeWait: (service: string, seconds: number) => void
   observeResponse: (service: string, seconds: number) => void
+  /** Time that a request waited before it was read. */
+  observeReadDelay: (seconds: number) => void
   registerReading: (source: ReadingSource) => void
   /** Renders all metrics in the Prometheus text exposition format. */
   render: () => Promise<string>
--- a/src/telemetry/PrometheusMetrics/index.ts
+++ b/src/telemetry/PrometheusMetrics/index.ts
@@ -21,21 +21,30 @@
  */
 export class PrometheusMetrics implements Metrics {
   readonly #registry = new Registry()
-  readonly #requests: Counter
   readonly #waits: Histogram
   readonly #responses: Histogram
+  readonly #readDelays: Histogram
+  /** Counted here, because the look-up of a series by its labels costs more than the count. */
+  readonly #requests = new Map<string, { labels: Record<string, string>, value: number }>()
 
   constructor (labels: Record<string, string>) {
     this.#registry.setDefaultLabels(labels)
     collectDefaultMetrics({ register: this.#registry, prefix: PREFIX })
     const registers = [this.#registry]
-    this.#requests = new Counter({ name: `${PREFIX}requests_total`, help: 'Requests that ended.', labelNames: ['service', 'outcome', 'kind'], registers })
+    this.registerReading({ name: 'requests_total', help: 'Requests that ended.', labels: ['service', 'outcome', 'kind'], read: () => [...this.#requests.values()] })
+    this.#readDelays = new Histogram({ name: `${PREFIX}read_delay_seconds`, help: 'Time that a request waited before it was read.', buckets: WAIT_BUCKETS_S, registers })
     this.#waits = new Histogram({ name: `${PREFIX}wait_seconds`, help: 'Time in the queue.', labelNames: ['service'], buckets: WAIT_BUCKETS_S, registers })
     this.#responses = new Histogram({ name: `${PREFIX}response_seconds`, help: 'Time from arrival to the end of the response.', labelNames: ['service'], buckets: RESPONSE_BUCKETS_S, registers })
   }
 
   observeRequest ({ service, outcome, kind }: RequestResult): void {
-    this.#requests.inc({ service, outcome, kind: kind ?? 'none' })
+    const key = `${service}/${outcome}/${kind}`
+    let series = this.#requests.get(key)
+    if (!series) {
+      series = { labels: { service, outcome, kind: kind ?? 'none' }, value: 0 }
+      this.#requests.set(key, series)
+    }
+    series.value++
   }
 
   observeWait (service: string, seconds: number): void {
@@ -46,6 +55,10 @@
     this.#responses.observe({ service }, seconds)
   }
 
+  observeReadDelay (seconds: number): void {
+    this.#readDelays.observe(seconds)
+  }
+
   registerReading (source: ReadingSource): void {
     const options = { name: PREFIX + source.name, help: source.help, labelNames: [...source.labels ?? []], registers: [this.#registry] }
     if (source.name.endsWith('_total')) this.#registerCounter(options, source)
--- a/test/_lib/plainCodecs/index.ts
+++ b/test/_lib/plainCodecs/index.ts
@@ -19,6 +19,7 @@
     decodeStored: content => RouteDocument.parse(JSON.parse(new TextDecoder().decode(content)))
   },
   calls: {
+    readApiKey: headers => getHeader(headers, 'key'),
     readRequestHeaders: headers => ({
       id: getHeader(headers, 'call-id') ?? '',
       apiKey: getHeader(headers, 'key'),
