Write the events of a busy router's streams together

Cause: each event of a stream cost a router its own write, and the look-up of ids that only resumed streams need; a stream of 24 events cost 2 ms more than one of 1. Change: WriteBatcher delays events by up to 50 ms while the event loop is busy, after the first one, and never past the end of a stream or of an attempt. EventSplitter looks up the last id when it is asked for; its tests of the first id moved to findFirstEventId, and those of the last id now expect undefined where isLastIdentified was false.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -3,7 +3,9 @@
 import type { AttemptResult } from '../../routing/AttemptResult'
 import type { ResponseWriter } from '../ResponseWriter'
 import { EventSplitter } from '../EventSplitter'
+import { findFirstEventId } from '../findFirstEventId'
 import { TargetExchange } from '../TargetExchange'
+import type { WriteBatcher } from '../WriteBatcher'
 
 interface CallAttemptOptions {
   codec: HeaderCodec
@@ -13,6 +15,7 @@
   /** Id of the event after which the attempt resumes a stream that the caller has received in part. */
   resumedEventId: string | undefined
   writer: ResponseWriter
+  batcher: WriteBatcher
   /** Called when the head of a response has arrived. */
   onHead: () => void
   /** Called, possibly more than once, when the target has read the request and begun to respond. */
@@ -59,13 +62,20 @@
   #head: { status: number, headers: IncomingHttpHeaders } | undefined
   #isForwardedStream = false
   #notRunResult: { retryAfterS?: number } | undefined
-  #lastEventId: string | undefined
+  #firstEventId: string | undefined
+  /** Events that are sent with the next write. */
+  #delayed: Buffer[] = []
   #failure: BufferedResponse | undefined
 
   constructor (options: CallAttemptOptions) {
     this.#options = options
-    this.#lastEventId = options.resumedEventId
-    this.result = new Promise(resolve => { this.#settle = resolve })
+    this.result = new Promise(resolve => {
+      this.#settle = result => {
+        if (result.type !== 'left') this.flush()
+        options.batcher.remove(this)
+        resolve(result)
+      }
+    })
     this.exchange = new TargetExchange({
       onHead: (status, headers) => this.#handleHead(status, headers),
       onData: chunk => this.#handleData(chunk),
@@ -94,6 +104,14 @@
     this.#settle({ type: 'left' })
   }
 
+  /** Sends the events that have been delayed. */
+  flush (): void {
+    if (this.#delayed.length === 0) return
+    const bytes = this.#delayed.length === 1 ? this.#delayed[0] : Buffer.concat(this.#delayed)
+    this.#delayed = []
+    if (!this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
+  }
+
   #handleHead (status: number, headers: IncomingHttpHeaders): void {
     const { codec, callId, isStream, writer } = this.#options
     const parsedHeaders = codec.readResponseHeaders(headers)
@@ -119,13 +137,21 @@
   }
 
   #pipeEvents (chunk: Buffer): void {
-    const { bytes, firstEventId, lastEventId, isLastIdentified } = this.#splitter.add(chunk)
+    const bytes = this.#splitter.add(chunk)
     if (this.#splitter.pendingBytes > MAX_EVENT_BYTES) return this.#refuseResponse()
     if (!bytes) return
+    if (this.#isRepeating(bytes)) return this.#refuseResponse()
+    const { writer, batcher } = this.#options
+    this.#delayed.push(bytes)
+    if (!writer.isStarted || !batcher.tryDelay(this)) this.flush()
+  }
+
+  /** Whether the events of a resumed stream begin before the event after which it should be resumed. */
+  #isRepeating (bytes: Buffer): boolean {
     const { resumedEventId } = this.#options
-    if (resumedEventId !== undefined && firstEventId !== undefined && !isLaterId(firstEventId, resumedEventId)) return this.#refuseResponse()
-    this.#lastEventId = isLastIdentified ? lastEventId : undefined
-    if (!this.#options.writer.writeEvents(this.#head!, bytes, () => this.exchange.resume())) this.exchange.pause()
+    if (resumedEventId === undefined) return false
+    this.#firstEventId ??= findFirstEventId(bytes)
+    return this.#firstEventId !== undefined && !isLaterId(this.#firstEventId, resumedEventId)
   }
 
   #handleEnd (): void {
@@ -134,6 +160,7 @@
     if (this.#notRunResult) return this.#settle({ type: 'not-run', target, ...this.#notRunResult })
     if (this.#isForwardedStream) {
       if (this.#splitter.pendingBytes > 0) return this.#settle(this.#createLostResult())
+      this.flush()
       writer.closeStream(this.#head!)
       return this.#settle({ type: 'answered' })
     }
@@ -153,7 +180,7 @@
   }
 
   #createLostResult (): AttemptResult {
-    return { type: 'lost', target: this.#options.target, isStarted: this.#options.writer.isStarted, lastEventId: this.#lastEventId }
+    return { type: 'lost', target: this.#options.target, isStarted: this.#options.writer.isStarted, lastEventId: this.#splitter.hasEvents ? this.#splitter.findLastId() : this.#options.resumedEventId }
   }
 }
 
--- a/src/gateway/EventSplitter/index.ts
+++ b/src/gateway/EventSplitter/index.ts
@@ -1,16 +1,6 @@
 const LINE_FEED = 10
 const EVENT_END = Buffer.from('\n\n')
-
-interface CompleteEvents {
-  /** Bytes of all events that are complete, undefined if there are none. */
-  bytes: Buffer | undefined
-  /** Id of the first event of the stream that has one. */
-  firstEventId: string | undefined
-  /** Id of the last complete event that has one. */
-  lastEventId: string | undefined
-  /** Whether the last complete event has an id: without one, a stream can't be resumed without repeating the event. */
-  isLastIdentified: boolean
-}
+const DATA_FIELD = 'data'
 
 /**
  * @name EventSplitter
@@ -19,54 +9,66 @@
  *
  * @description
  * A target may fail in the middle of an event. Only complete events are forwarded, so that a stream which is resumed at
- * another target contains no partial event.
+ * another target contains no partial event. The id of the last event is looked up only when it is asked for, because
+ * most streams are never resumed.
  *
  * @example
  * const splitter = new EventSplitter()
- * splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')) // bytes of the first event, lastEventId '1'
+ * splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')) // bytes of the first event
+ * splitter.findLastId() // '1'
  * splitter.pendingBytes // 8
  */
 export class EventSplitter {
   #pending: Buffer | undefined
-  #firstEventId: string | undefined
-  #lastEventId: string | undefined
-  #isLastIdentified = false
+  /** The newest complete events: from the last bytes that contain data to the end. */
+  #newest: Buffer[] = []
 
   /** Number of bytes of the incomplete event at the end. */
   get pendingBytes (): number {
     return this.#pending?.length ?? 0
   }
 
-  add (chunk: Buffer): CompleteEvents {
+  /** Whether an event is complete. */
+  get hasEvents (): boolean {
+    return this.#newest.length > 0
+  }
+
+  /** Adds bytes of the stream. Returns those of the events that are complete now; undefined if there are none. */
+  add (chunk: Buffer): Buffer | undefined {
     const bytes = this.#pending ? Buffer.concat([this.#pending, chunk]) : chunk
     const endsWithEvent = bytes.length >= 2 && bytes[bytes.length - 1] === LINE_FEED && bytes[bytes.length - 2] === LINE_FEED
     const completeLength = endsWithEvent ? bytes.length : bytes.lastIndexOf(EVENT_END) + EVENT_END.length
     // Without the end of an event, lastIndexOf returns -1, and the sum is less than the length of an event end.
     if (completeLength < EVENT_END.length) {
       this.#pending = bytes
-      return this.#createResult(undefined)
+      return undefined
     }
     this.#pending = completeLength === bytes.length ? undefined : bytes.subarray(completeLength)
     const complete = bytes.subarray(0, completeLength)
-    const text = complete.toString('latin1')
-    this.#firstEventId ??= findFirstId(text)
-    this.#lastEventId = findLastId(text) ?? this.#lastEventId
-    this.#isLastIdentified = findLastEvent(text)?.some(line => line.startsWith('id:')) ?? this.#isLastIdentified
-    return this.#createResult(complete)
+    if (hasData(complete)) this.#newest = []
+    this.#newest.push(complete)
+    return complete
   }
 
-  #createResult (bytes: Buffer | undefined): CompleteEvents {
-    return { bytes, firstEventId: this.#firstEventId, lastEventId: this.#lastEventId, isLastIdentified: this.#isLastIdentified }
+  /**
+   * Returns the id after which the stream can be resumed. Undefined if the last event with data has no id: then a resumed
+   * stream would repeat it.
+   */
+  findLastId (): string | undefined {
+    const text = this.#newest.map(bytes => bytes.toString('latin1')).join('')
+    const isLastIdentified = findLastEvent(text)?.some(line => line.startsWith('id:')) ?? false
+    return isLastIdentified ? findLastId(text) : undefined
   }
 }
 
-/** Returns the lines of the last event, without comments and other blocks that have no data. */
-function findLastEvent (text: string): string[] | undefined {
-  return text.split('\n\n').map(block => block.split('\n')).findLast(lines => lines.some(line => line.startsWith('data')))
+/** Whether a line begins with the name of the data field. */
+function hasData (bytes: Buffer): boolean {
+  return bytes.indexOf(DATA_FIELD) === 0 || bytes.includes(`\n${DATA_FIELD}`)
 }
 
-function findFirstId (text: string): string | undefined {
-  return /^id:(.*)$/m.exec(text)?.[1].trim()
+/** Returns the lines of the last event, without comments and other blocks that have no data. */
+function findLastEvent (text: string): string[] | undefined {
+  return text.split('\n\n').map(block => block.split('\n')).findLast(lines => lines.some(line => line.startsWith(DATA_FIELD)))
 }
 
 function findLastId (text: string): string | undefined {
--- a/src/gateway/EventSplitter/test.ts
+++ b/src/gateway/EventSplitter/test.ts
@@ -1,9 +1,6 @@
 import { EventSplitter } from '.'
 
-const add = (splitter: EventSplitter, text: string) => {
-  const { bytes, lastEventId } = splitter.add(Buffer.from(text))
-  return [bytes?.toString(), lastEventId]
-}
+const add = (splitter: EventSplitter, text: string) => [splitter.add(Buffer.from(text))?.toString(), splitter.findLastId()]
 
 describe('EventSplitter', () => {
   // Guards against a partial event in a stream that is resumed at another target.
@@ -16,26 +13,27 @@
     expect(splitter.pendingBytes).toBe(0)
   })
 
-  it('keeps the last event id across events without one', () => {
+  it('keeps the last event id across comments, also those with the word data', () => {
     const splitter = new EventSplitter()
     expect(add(splitter, 'id:9\ndata: x\n\n: comment\n\n')).toEqual(['id:9\ndata: x\n\n: comment\n\n', '9'])
-    expect(add(splitter, 'data: y\n\n')).toEqual(['data: y\n\n', '9'])
+    expect(add(splitter, ': more data:\n\n')).toEqual([': more data:\n\n', '9'])
   })
 
-  it('keeps the id of the first event', () => {
+  // Guards against a resumed stream that repeats events which have no id.
+  it('has no last id if the last event has none, whatever comments follow it', () => {
     const splitter = new EventSplitter()
-    const getFirstId = (text: string): string | undefined => splitter.add(Buffer.from(text)).firstEventId
-    expect(getFirstId('data: x\n\n')).toBeUndefined()
-    expect(getFirstId('id: 4\ndata: x\n\nid: 5\ndata: y\n\n')).toBe('4')
-    expect(getFirstId('id: 6\ndata: x\n\n')).toBe('4')
+    expect(add(splitter, 'data: x\n\nid: 1\ndata: y\n\n: comment\n\n')[1]).toBe('1')
+    expect(add(splitter, ': comment\n\n')[1]).toBe('1')
+    expect(add(splitter, 'id: 2\ndata: x\n\ndata: y\n\n')[1]).toBeUndefined()
+    expect(add(splitter, ': comment\n\n')[1]).toBeUndefined()
+    expect(add(splitter, 'data: z\nid: 3\n\n')[1]).toBe('3')
   })
 
-  // Guards against a resumed stream that repeats events which have no id.
-  it('tells whether the last event has an id, whatever comments follow it', () => {
+  // Guards against a look-up that misses an event because its bytes were dropped: the result must not depend on when it
+  // is asked for.
+  it('finds the same id when it is asked for only at the end', () => {
     const splitter = new EventSplitter()
-    const isLastIdentified = (text: string): boolean => splitter.add(Buffer.from(text)).isLastIdentified
-    expect(isLastIdentified('data: x\n\nid: 1\ndata: y\n\n: comment\n\n')).toBe(true)
-    expect(isLastIdentified(': comment\n\n')).toBe(true)
-    expect(isLastIdentified('id: 2\ndata: x\n\ndata: y\n\n')).toBe(false)
+    for (const text of ['id: 1\ndata: a\n\n', ': ping\n\n', 'id: 2\ndata: b\n\n', ': ping\n\n', ': ping\n\n']) splitter.add(Buffer.from(text))
+    expect(splitter.findLastId()).toBe('2')
   })
 })
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -186,7 +186,7 @@
   }
 
   #send (call: AdmittedCall, { lastEventId }: NextAttempt, { target, record }: Placement): Promise<AttemptResult> {
-    const { loads, connections, codec } = this.#context
+    const { loads, connections, codec, batcher } = this.#context
     const { service, route, table } = call
     const attempt = new CallAttempt({
       codec,
@@ -195,6 +195,7 @@
       isStream: route.kind === 'stream',
       resumedEventId: lastEventId,
       writer: this.#writer,
+      batcher,
       onHead: () => this.#record.startResponse(),
       onProgress: () => record('read')
     })
--- a/src/gateway/GatewayContext/index.ts
+++ b/src/gateway/GatewayContext/index.ts
@@ -9,6 +9,7 @@
 import type { PlacementClient } from '../PlacementClient'
 import type { LeastLoadedSelector } from '../LeastLoadedSelector'
 import type { TargetConnections } from '../TargetConnections'
+import type { WriteBatcher } from '../WriteBatcher'
 
 /**
  * @name GatewayContext
@@ -33,6 +34,7 @@
   /** Whether the router stops and must refuse new calls. */
   isRefusing: () => boolean
   connections: TargetConnections
+  batcher: WriteBatcher
   retryBudget: FleetRetryBudget
   logger: ComponentLogger
   metrics: Metrics
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -12,6 +12,7 @@
 import { PlacementClient } from '../../gateway/PlacementClient'
 import { LeastLoadedSelector } from '../../gateway/LeastLoadedSelector'
 import { TargetConnections } from '../../gateway/TargetConnections'
+import { WriteBatcher } from '../../gateway/WriteBatcher'
 import type { LifecycleManager } from '../../lifecycle/LifecycleManager'
 import { FleetRetryBudget } from '../../routing/FleetRetryBudget'
 import { RouteTable } from '../../routing/RouteTable'
@@ -106,6 +107,8 @@
     logger
   })
   lifecycle.register('overload gate', () => gate.close())
+  const batcher = new WriteBatcher({ isBusy: () => monitor.isBusy })
+  lifecycle.register('write batcher', () => batcher.close())
   const readCallId = ({ headers }: IncomingMessage): string => options.calls.readRequestHeaders(headers).id
   const calls = new Set<GatewayCall>()
   const shutdown = new GracefulShutdown({
@@ -129,7 +132,8 @@
     placements,
     selector,
     loads,
-    connections
+    connections,
+    batcher
   }
   let frontServer: Server | undefined
   const applyLimits = (): void => {
