Let a router without a scheduler place its part of the load

Cause: while the scheduler can not be reached each router placed 1 / routers of the load. Change: half of the load is divided equally and half by the requests in flight at the newest summary; the parts add up to 1.

--- a/src/gateway/PlacementClient/index.ts
+++ b/src/gateway/PlacementClient/index.ts
@@ -19,7 +19,8 @@
   /** Link to the scheduler of the fleet; undefined while none is known. */
   getLink: () => Link | undefined
   getMemoryTokens: (service: string) => number | undefined
-  countRouters: () => number
+  /** Part of the fleet's load that this router may place while it decides by itself. */
+  getLoadShare: () => number
   logger: ComponentLogger
 }
 
@@ -42,7 +43,7 @@
  *
  * @description
  * The local scheduler tracks all calls of this router and can take over at any moment while the scheduler of the fleet
- * can't be reached. It assumes that this router has an equal share of the load of the fleet. Prompts with a part
+ * can't be reached, within this router's share of the load of the fleet. Prompts with a part
  * that is blocked for long are refused without asking the scheduler.
  *
  * @example
@@ -65,10 +66,10 @@
 
   constructor (options: PlacementClientOptions) {
     this.#options = options
-    const { getMemoryTokens, countRouters, logger } = options
+    const { getMemoryTokens, getLoadShare, logger } = options
     const crashMonitor = new CrashMonitor({ quarantine: this.quarantine, logger })
     this.#crashMonitor = crashMonitor
-    this.#localScheduler = new PromptScheduler({ getMemoryTokens, getLoadShare: () => 1 / countRouters(), crashMonitor, random: Math.random, startedMs: performance.now() })
+    this.#localScheduler = new PromptScheduler({ getMemoryTokens, getLoadShare, crashMonitor, random: Math.random, startedMs: performance.now() })
     this.#localQueue = new PlacementQueue(this.#localScheduler)
     this.#shareCopy = new ShareCopy(this.#localScheduler.shares)
   }
--- a/src/gateway/PlacementClient/test.ts
+++ b/src/gateway/PlacementClient/test.ts
@@ -21,7 +21,7 @@
 
 function createClient (getLink: () => Link | undefined): PlacementClient {
   const log = (): void => {}
-  const client = new PlacementClient({ getLink, getMemoryTokens: () => 10_000, countRouters: () => 1, logger: { error: log, warn: log, info: log, debug: log } })
+  const client = new PlacementClient({ getLink, getMemoryTokens: () => 10_000, getLoadShare: () => 1 / 1, logger: { error: log, warn: log, info: log, debug: log } })
   client.setTargets([target])
   return client
 }
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -88,7 +88,7 @@
   const placements = new PlacementClient({
     getLink: () => registry.leaderLink,
     getMemoryTokens: service => routeTable?.findService(service)?.engine?.memoryTokens,
-    countRouters: () => loads.routers,
+    getLoadShare: () => loads.ownShare,
     logger
   })
   lifecycle.register('placements', () => placements.close())
--- a/src/routing/TargetLoads/test.ts
+++ b/src/routing/TargetLoads/test.ts
@@ -20,4 +20,14 @@
     release()
     expect(loads.get('t', 0)).toEqual({ running: 1, tokens: 5 })
   })
+
+  // Guards against a hot router that refuses almost all prompts while no scheduler can be reached, although the engines run
+  // mostly its prompts.
+  it('gives a router with much of the load a larger share, and all routers together not more than the whole', () => {
+    const [hot, idle] = [new TargetLoads(), new TargetLoads()]
+    for (let i = 0; i < 30; i++) hot.add('t1', { tokens: 1 })
+    hot.setPeerLoads({ routers: 2, targets: [] }, 0)
+    idle.setPeerLoads({ routers: 2, targets: [['t1', 30, 30]] }, 0)
+    expect([hot.ownShare, idle.ownShare]).toEqual([0.75, 0.25])
+  })
 })
--- a/test/_lib/PlacementNetwork/index.ts
+++ b/test/_lib/PlacementNetwork/index.ts
@@ -83,7 +83,7 @@
     const loads = new TargetLoads()
     const releases = new Map<string, () => void>()
     const links = this.services.map((_, replica) => this.#createLink(name, replica))
-    const placements = new PlacementClient({ getLink: () => router.leader === undefined ? undefined : router.links[router.leader].near, getMemoryTokens: () => 100_000, countRouters: () => routers, logger: noLogger })
+    const placements = new PlacementClient({ getLink: () => router.leader === undefined ? undefined : router.links[router.leader].near, getMemoryTokens: () => 100_000, getLoadShare: () => 1 / routers, logger: noLogger })
     placements.setTargets(targets)
     const router: Router = {
       links,
