Bound the queue of connections at a router, and count the time in it

Change: a backlog of 32 for the callers' listener; AcceptClock estimates from consecutive iterations with a connection how long one waited, and the admission counts it for the first request. A busy router looks for a close of the caller before and after each placement again.

--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -44,6 +44,8 @@
 const RESUME_OBJECTIVE_MS = 5_000
 /** A caller that leaves while its call waits less than this for a placement is noticed early enough to cancel the call. */
 const CLOSE_CHECK_AFTER_MS = 100
+/** The event loop is taken for busy if it has not waited for input for this long: closes are read late. */
+const BUSY_MS = 50
 /** Stands for this router in estimates. */
 const LOCAL_SCHEDULER = 'local'
 
@@ -66,6 +68,8 @@
   readonly #metadata: RequestMetadata
   readonly #record: CallRecord
   readonly #writer: ResponseWriter
+  /** Whether the caller may have left before the request was read. */
+  readonly #isDelayed: boolean
   #attempt: CallAttempt | undefined
   #isCallerGone = false
   #isExpired = false
@@ -82,6 +86,7 @@
     this.#writer = new ResponseWriter(response)
     this.#metadata = context.codec.readRequestHeaders(request.headers)
     this.#record = new CallRecord(this.#metadata, context, delay)
+    this.#isDelayed = delay.busyMs > BUSY_MS || delay.readMs > BUSY_MS
   }
 
   async run (): Promise<void> {
@@ -133,7 +138,7 @@
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable)
     this.#response.once('close', () => this.#handleClose(route))
     const timer = setTimeout(() => this.#expire(), Math.max(1, call.deadlineAtMs - performance.now()))
-    if (!this.#isPrompt(call)) await waitForClose()
+    if (this.#isDelayed || !this.#isPrompt(call)) await waitForClose()
     const { retryBudget, loads } = this.#context
     const plan = planAttempts({ isRetryable, maxAttempts: route.maxAttempts, tryTakeRetry: () => retryBudget.tryTake(service, { routers: loads.routers, nowMs: performance.now() }) })
     let step = plan.next()
@@ -170,7 +175,7 @@
     const startedAtMs = performance.now()
     const placement = await placeCall(this.#createPlaceCallOptions(call, next), this.#context)
     const isImmediate = 'estimate' in placement && placement.estimate?.scheduler === LOCAL_SCHEDULER
-    if (isImmediate || performance.now() - startedAtMs > CLOSE_CHECK_AFTER_MS) await waitForClose()
+    if (this.#isDelayed || isImmediate || performance.now() - startedAtMs > CLOSE_CHECK_AFTER_MS) await waitForClose()
     return placement
   }
 
--- a/src/gateway/OverloadGate/index.ts
+++ b/src/gateway/OverloadGate/index.ts
@@ -4,6 +4,7 @@
 import { computeCallTokens } from '../../routing/computeCallTokens'
 import type { RouteTable } from '../../routing/RouteTable'
 import type { ComponentLogger } from '../../telemetry/ComponentLogger'
+import type { AcceptClock } from '../AcceptClock'
 import { CallAdmission } from '../CallAdmission'
 import type { LoopClock } from '../LoopClock'
 import { RefusalLog } from '../RefusalLog'
@@ -12,6 +13,7 @@
 
 interface OverloadGateOptions {
   clock: Pick<LoopClock, 'observe'>
+  acceptClock: Pick<AcceptClock, 'takeDelay'>
   admission: CallAdmission
   codec: HeaderCodec
   getTable: () => RouteTable | undefined
@@ -59,8 +61,9 @@
 
   /** Accepts a request and returns how long it has waited, or sends a refusal. */
   tryAdmit (request: IncomingMessage, response: ServerResponse): Delay | undefined {
-    const { clock, admission, codec, getTable } = this.#options
+    const { clock, acceptClock, admission, codec, getTable } = this.#options
     const delay = clock.observe()
+    delay.readMs += acceptClock.takeDelay(request.socket)
     const table = getTable()
     const objectiveMs = table?.findRoute(request.headers.host ?? '', request.url ?? '/')?.objectiveMs ?? DEFAULT_OBJECTIVE_MS
     const account = table?.findAccount(codec.readApiKey(request.headers) ?? '') ?? ''
--- a/src/gateway/OverloadGate/test.ts
+++ b/src/gateway/OverloadGate/test.ts
@@ -8,11 +8,12 @@
 const route = { name: 'r', host: 'a.example', pathPrefix: '/r/', kind: 'stream', timeoutMs: 5_000, objectiveMs: 200, split: [{ service: 's', weight: 1 }] }
 const table = new RouteTable(RouteDocument.parse({ version: 1, routes: [route], services: [{ name: 's' }], accounts: [{ name: 'team', keys: ['k1'] }] }))
 
-function createGate ({ readMs, isClosing = false }: { readMs: number, isClosing?: boolean }) {
+function createGate ({ readMs, acceptMs = 0, isClosing = false }: { readMs: number, acceptMs?: number, isClosing?: boolean }) {
   const lines: Array<Record<string, unknown> | undefined> = []
   const log = (_message: string, fields?: Record<string, unknown>): void => { lines.push(fields) }
   const gate = new OverloadGate({
     clock: { observe: () => ({ readMs, iterationMs: 1, busyMs: readMs }) },
+    acceptClock: { takeDelay: () => acceptMs },
     admission: new CallAdmission(),
     codec: plainCodecs.calls,
     getTable: () => table,
@@ -52,6 +53,12 @@
     expect(lines).toEqual([expect.objectContaining({ refused: 1, longestReadMs: 150, accounts: [['team', 1]], requestIds: ['9c41'] })])
   })
 
+  // Guards against work for callers that have given up before their connection was accepted.
+  it('counts the time that the connection waited to be accepted', () => {
+    expect(sendRequest(createGate({ readMs: 5, acceptMs: 400 }).gate)).toMatchObject({ delay: undefined, status: 503 })
+    expect(sendRequest(createGate({ readMs: 5, acceptMs: 20 }).gate).delay).toMatchObject({ readMs: 25 })
+  })
+
   it('closes the connections of refused requests once the router is out of rotation', () => {
     expect(sendRequest(createGate({ readMs: 150, isClosing: true }).gate).headers!.slice(-2)).toEqual(['connection', 'close'])
   })
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -1,3 +1,4 @@
+import { AcceptClock } from '../../../gateway/AcceptClock'
 import { CallAdmission } from '../../../gateway/CallAdmission'
 import { LoopClock } from '../../../gateway/LoopClock'
 import { OverloadDetector } from '../../../gateway/OverloadDetector'
@@ -20,11 +21,12 @@
   readonly #clock = new LoopClock({
     now: () => performance.now(),
     getIdleMs: () => performance.nodeTiming.idleTime,
-    countIterations: () => performance.nodeTiming.uvMetricsInfo.loopCount,
+    countIterations,
     onIterationEnd: callback => { setImmediate(callback) },
     onIteration: (durationMs, isBusy) => this.admission.addIteration(durationMs, { isBusy })
   })
 
+  readonly acceptClock: AcceptClock
   readonly #detector = new OverloadDetector()
   readonly #logger: ComponentLogger
   #utilization = performance.eventLoopUtilization()
@@ -36,8 +38,10 @@
   #overloads = 0
   #longestIterationMs = 0
 
-  constructor (logger: ComponentLogger) {
+  /** `backlog`: most connections that the operating system keeps for the listener. */
+  constructor (logger: ComponentLogger, { backlog }: { backlog: number }) {
     this.#logger = logger
+    this.acceptClock = new AcceptClock({ now: () => performance.now(), countIterations, backlog })
   }
 
   get isOverloaded (): boolean {
@@ -133,3 +137,7 @@
     else this.#logger.warn('The router is no longer overloaded.')
   }
 }
+
+function countIterations (): number {
+  return performance.nodeTiming.uvMetricsInfo.loopCount
+}
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -56,6 +56,11 @@
  * in most cases, and the rest of the lame-duck period is a margin for requests that are on their way.
  */
 const REFUSE_AFTER_MS = 2_500
+/**
+ * Node.js accepts one connection in each iteration of its event loop. At a busy router a longer queue holds connections
+ * whose callers have given up by the time that they are accepted.
+ */
+const BACKLOG = 32
 /** Part of the grace period that is left for the exit of the process. */
 const EXIT_MARGIN_MS = 500
 
@@ -94,10 +99,11 @@
   lifecycle.register('placements', () => placements.close())
   const connections = new TargetConnections()
   lifecycle.register('target connections', () => connections.close())
-  const monitor = new EventLoopMonitor(logger)
+  const monitor = new EventLoopMonitor(logger, { backlog: BACKLOG })
   lifecycle.register('event loop monitor', () => monitor.close())
   const gate = new OverloadGate({
     clock: monitor,
+    acceptClock: monitor.acceptClock,
     admission: monitor.admission,
     codec: options.calls,
     getTable: () => routeTable,
@@ -204,7 +210,9 @@
       server.requestTimeout = 0
       applyLimits()
       shutdown.watch(server)
-    }
+      server.on('connection', socket => monitor.acceptClock.observe(socket))
+    },
+    backlog: BACKLOG
   })
   logger.info('Started.', { port: front.address.port })
   return running
--- a/src/instance/startHttpServer/index.ts
+++ b/src/instance/startHttpServer/index.ts
@@ -17,6 +17,8 @@
 interface StartHttpServerOptions {
   /** Called with the server before it accepts connections. */
   onCreate?: (server: Server) => void
+  /** Most connections that wait to be accepted; further ones are not established. Defaults to that of Node.js, 511. */
+  backlog?: number
 }
 
 interface HttpServer {
@@ -38,7 +40,8 @@
  *
  * @param address - Where to listen.
  * @param routes - Handlers by method and path, in the pattern syntax of polka.
- * @param options - `onCreate`: called with the server before it accepts connections.
+ * @param options - `onCreate`: called with the server before it accepts connections; `backlog`: most connections that wait
+ * to be accepted.
  * @returns The bound address and the server.
  * @throws Error of node:net if the address can't be bound.
  *
@@ -58,7 +61,7 @@
   options.onCreate?.(server)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
-    app.listen(address.port, address.host, () => resolve())
+    app.listen(address.port, address.host, options.backlog, () => resolve())
   })
   const { port } = server.address() as AddressInfo
   return { address: { host: address.host, port }, server }
