Accept connections while a stopping router still runs calls

Cause: a stopping router closed its listener after 3 s and ran on for up to 7 s, while the platform sends new connections to all routers of a zone once fewer than half are ready; these met a closed port. Change: GracefulShutdown closes the listener when the running calls have ended or are interrupted. New calls are refused as not run meanwhile, on connections that close.

--- a/src/instance/_lib/GracefulShutdown/index.ts
+++ b/src/instance/_lib/GracefulShutdown/index.ts
@@ -3,7 +3,7 @@
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 
 interface GracefulShutdownOptions {
-  /** Time between the start of the shutdown, from which the readiness check fails, and the close of the listener. */
+  /** Time between the start of the shutdown, from which the readiness check fails, and the earliest end. */
   lameDuckMs: number
   /** Time between the start of the shutdown and the refusal of new calls; at most `lameDuckMs`, which is the default. */
   refuseAfterMs?: number
@@ -30,9 +30,11 @@
 
 /**
  * Shuts down the HTTP server for callers. The router keeps serving during the lame-duck period; its responses close
- * their connections, so that callers reconnect to other routers. In the last part of the time limit, requests that no
- * target has taken are refused. Requests that are still running shortly before the time limit are interrupted: each gets a final response that says whether it may have run. Connections whose response is not
- * written at the limit are closed.
+ * their connections, so that callers reconnect to other routers. Afterwards it still accepts connections while calls run,
+ * and refuses new calls: a load balancer may send callers to unready routers when few are ready. In the last part of the
+ * time limit, requests that no target has taken are refused. Requests that are still running shortly before the time limit
+ * are interrupted: each gets a final response that says whether it may have run. Connections whose response is not written
+ * at the limit are closed.
  */
 export class GracefulShutdown {
   readonly #options: GracefulShutdownOptions
@@ -72,13 +74,13 @@
     logger.info('The drain of callers begins.', { running: this.#countRunning(), limitMs: stopTimeoutMs })
     for (const response of this.#active.keys()) if (!response.headersSent) response.setHeader('connection', 'close')
     await wait(Math.min(lameDuckMs, stopTimeoutMs))
-    this.#server?.close()
     const interruptAtMs = deadlineAtMs - RESPONSE_MARGIN_MS
     await this.#waitForCalls(Math.min(startedAtMs + LAST_SEND_SHARE * stopTimeoutMs, interruptAtMs))
     let refused = 0
     await this.#waitForCalls(interruptAtMs, () => { refused += refuseUnsentCalls() })
     const interrupted = { interrupted: this.#countRunning(), requestIds: this.#listCallIds() }
     interruptCalls()
+    this.#server?.close()
     await this.#waitForCalls(deadlineAtMs)
     logger.info('The drain of callers has ended.', { durationMs: Math.round(performance.now() - startedAtMs), refused, ...interrupted, cut: this.#countRunning() })
     this.#server?.closeAllConnections()
