--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -15,6 +15,7 @@
   /** Id of the event after which the attempt resumes a stream that the caller has received in part. */
   resumedEventId: string | undefined
   writer: ResponseWriter
+  /** Delays the events after the first while this router is busy. */
   batcher: WriteBatcher
   /** Called when the head of a response has arrived. */
   onHead: () => void
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -13,8 +13,8 @@
 const FLEET_RETRY_AFTER_S = 0.5
 
 /**
- * Samples the delay and the utilization of the event loop while requests and readiness checks
- * arrive, so that an idle process is not woken.
+ * Samples the delay and the utilization of the event loop while requests and readiness checks arrive, so that an idle
+ * process is not woken.
  */
 export class EventLoopMonitor {
   readonly admission = new CallAdmission()
@@ -117,7 +117,7 @@
       this.#arrivals = 0
       this.#timer = undefined
       if (isNeeded) this.#scheduleSample()
-    }, SAMPLE_INTERVAL_MS)
+    }, SAMPLE_INTERVAL_MS).unref()
   }
 
   #addSample (): void {
