--- /dev/null
+++ b/review/lib/sleep.mjs
@@ -0,0 +1,3 @@
+export function sleep (ms) {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
