--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,9 +1,9 @@
 // Routers are killed while streams without a length pass through them.
 import { randomBytes } from 'node:crypto'
-import { RawRunner } from '../lib/RawRunner.mjs'
-import { BROKEN, HELD, runCase } from '../lib/runCase.mjs'
-import { sendRequest } from '../lib/sendRequest.mjs'
-import { sleep } from '../lib/sleep.mjs'
+import { RawRunner } from '../RawRunner.mjs'
+import { BROKEN, HELD, runCase } from '../runCase.mjs'
+import { sendRequest } from '../sendRequest.mjs'
+import { sleep } from '../sleep.mjs'
 
 const SEEDS = ['127.0.0.1', '127.0.0.2', '127.0.0.3']
 const HOST_NAME = 'a.example'
--- a/review/lib/SmallFleet.mjs
+++ b/review/SmallFleet.mjs
@@ -7,7 +7,7 @@
 import { fileURLToPath } from 'node:url'
 import { sleep } from './sleep.mjs'
 
-const REPOSITORY = fileURLToPath(new URL('../..', import.meta.url))
+const REPOSITORY = fileURLToPath(new URL('..', import.meta.url))
 const HOST = '127.0.0.1'
 const ZONE = 'zone-a'
 /** Values of the page DEPLOY.md for a small deployment. */
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # read, and that the build of the deploy file is there.
 set -e
 cd "$(dirname "$0")"
-for file in lib/*.mjs */run.mjs; do node --check "$file"; done
+for file in *.mjs */run.mjs; do node --check "$file"; done
 test -f ../target/papayalead.cjs
