Log what a busy router accepts and refuses, and count its refusals in shares

Change: RouterLoadLog writes one line a second while a router is busy or refuses; AccountTraffic counts refusals of routers as asked and refused. No decision changes.

--- a/src/gateway/OverloadGate/index.ts
+++ b/src/gateway/OverloadGate/index.ts
@@ -8,6 +8,7 @@
 import { CallAdmission } from '../CallAdmission'
 import type { LoopClock } from '../LoopClock'
 import { RefusalLog } from '../RefusalLog'
+import type { RouterLoadLog } from '../RouterLoadLog'
 
 type Delay = ReturnType<LoopClock['observe']>
 
@@ -15,6 +16,7 @@
   clock: Pick<LoopClock, 'observe'>
   acceptClock: Pick<AcceptClock, 'takeDelay'>
   admission: CallAdmission
+  loadLog: Pick<RouterLoadLog, 'add'>
   codec: HeaderCodec
   getTable: () => RouteTable | undefined
   /** Seconds after which a caller should retry a refused request. */
@@ -61,13 +63,15 @@
 
   /** Accepts a request and returns how long it has waited, or sends a refusal. */
   tryAdmit (request: IncomingMessage, response: ServerResponse): Delay | undefined {
-    const { clock, acceptClock, admission, codec, getTable } = this.#options
+    const { clock, acceptClock, admission, loadLog, codec, getTable } = this.#options
     const delay = clock.observe()
     delay.readMs += acceptClock.takeDelay(request.socket)
     const table = getTable()
     const objectiveMs = table?.findRoute(request.headers.host ?? '', request.url ?? '/')?.objectiveMs ?? DEFAULT_OBJECTIVE_MS
     const account = table?.findAccount(codec.readApiKey(request.headers) ?? '') ?? ''
-    if (admission.tryAdmit({ account, objectiveMs, ...delay }, performance.now())) return delay
+    const isAdmitted = admission.tryAdmit({ account, objectiveMs, ...delay }, performance.now())
+    loadLog.add({ account, isAdmitted, readMs: delay.readMs })
+    if (isAdmitted) return delay
     this.#recordRefusal(request, account, delay)
     this.#sendRefusal(response)
     return undefined
--- a/src/gateway/OverloadGate/test.ts
+++ b/src/gateway/OverloadGate/test.ts
@@ -11,10 +11,12 @@
 function createGate ({ readMs, acceptMs = 0, isClosing = false }: { readMs: number, acceptMs?: number, isClosing?: boolean }) {
   const lines: Array<Record<string, unknown> | undefined> = []
   const log = (_message: string, fields?: Record<string, unknown>): void => { lines.push(fields) }
+  const observed: object[] = []
   const gate = new OverloadGate({
     clock: { observe: () => ({ readMs, iterationMs: 1, busyMs: readMs }) },
     acceptClock: { takeDelay: () => acceptMs },
     admission: new CallAdmission(),
+    loadLog: { add: call => { observed.push(call) } },
     codec: plainCodecs.calls,
     getTable: () => table,
     getRetryAfterS: () => 0.05,
@@ -22,7 +24,7 @@
     onRefused: () => {},
     logger: { error: log, warn: log, info: log, debug: log }
   })
-  return { gate, lines }
+  return { gate, lines, observed }
 }
 
 function sendRequest (gate: OverloadGate) {
@@ -35,8 +37,9 @@
 
 describe('OverloadGate', () => {
   it('accepts a request that can be begun in time, and tells how long it has waited', () => {
-    const { gate } = createGate({ readMs: 30 })
+    const { gate, observed } = createGate({ readMs: 30 })
     expect(sendRequest(gate)).toEqual({ delay: { readMs: 30, iterationMs: 1, busyMs: 30 } })
+    expect(observed).toEqual([{ account: 'team', isAdmitted: true, readMs: 30 }])
     expect(gate.refused).toBe(0)
   })
 
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -2,6 +2,7 @@
 import { CallAdmission } from '../../../gateway/CallAdmission'
 import { LoopClock } from '../../../gateway/LoopClock'
 import { OverloadDetector } from '../../../gateway/OverloadDetector'
+import { RouterLoadLog } from '../../../gateway/RouterLoadLog'
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 
 const SAMPLE_INTERVAL_MS = 50
@@ -27,6 +28,7 @@
   })
 
   readonly acceptClock: AcceptClock
+  readonly loadLog: RouterLoadLog
   readonly #detector = new OverloadDetector()
   readonly #logger: ComponentLogger
   #utilization = performance.eventLoopUtilization()
@@ -42,6 +44,7 @@
   constructor (logger: ComponentLogger, { backlog }: { backlog: number }) {
     this.#logger = logger
     this.acceptClock = new AcceptClock({ now: () => performance.now(), countIterations, backlog })
+    this.loadLog = new RouterLoadLog({ logger, now: () => performance.now(), countIterations, getIdleMs: () => performance.nodeTiming.idleTime })
   }
 
   get isOverloaded (): boolean {
--- a/src/instance/_lib/PlacementService/index.ts
+++ b/src/instance/_lib/PlacementService/index.ts
@@ -180,7 +180,10 @@
    * those that it names and the scheduler does not know.
    */
   observeRouter (link: Link, report: Pick<LoadReport, 'targets' | 'placements'> & Partial<Pick<LoadReport, 'refusedTokens'>>): string[] {
-    for (const [account, tokens] of report.refusedTokens ?? []) this.#scheduler.shares.recordDemand(account, tokens, performance.now())
+    for (const [account, tokens] of report.refusedTokens ?? []) {
+      this.#scheduler.shares.recordDemand(account, tokens, performance.now())
+      this.#traffic.recordRouterRefusals(account, tokens, performance.now())
+    }
     const engines = new Set(this.#targets.filter(({ service }) => this.#options.getMemoryTokens(service) !== undefined).map(({ id }) => id))
     const reported = report.targets.reduce((sum, [target, running]) => engines.has(target) ? sum + running : sum, 0)
     return this.#routers.observe(link, { placements: report.placements, reported })
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -108,6 +108,7 @@
     clock: monitor,
     acceptClock: monitor.acceptClock,
     admission: monitor.admission,
+    loadLog: monitor.loadLog,
     codec: options.calls,
     getTable: () => routeTable,
     getRetryAfterS: () => monitor.retryAfterS,
@@ -217,7 +218,10 @@
       server.requestTimeout = 0
       applyLimits()
       shutdown.watch(server)
-      server.on('connection', socket => monitor.acceptClock.observe(socket))
+      server.on('connection', socket => {
+        monitor.acceptClock.observe(socket)
+        monitor.loadLog.addConnection()
+      })
     },
     backlog: BACKLOG
   })
--- a/src/routing/AccountTraffic/index.ts
+++ b/src/routing/AccountTraffic/index.ts
@@ -7,7 +7,11 @@
   account: string
   askedTokens: number
   placedTokens: number
+  /** Tokens that the scheduler and routers refused. */
   refusedTokens: number
+  /** Tokens that routers refused at the arrival of the calls. */
+  routerRefusedTokens: number
+  /** Calls that the scheduler refused, and reports of routers about refused calls. */
   refusedCalls: number
   /** Placed tokens, divided by what the account asked or the best served account got, whichever is less each second. */
   share: number
@@ -17,6 +21,7 @@
   asked: number
   placed: number
   refused: number
+  routerRefused: number
   refusedCalls: number
 }
 
@@ -60,6 +65,15 @@
     }
   }
 
+  /** Records the tokens of calls that a router refused at their arrival, so that the scheduler did not see them. */
+  recordRouterRefusals (account: string, tokens: number, nowMs: number): void {
+    const second = this.#getSecond(account, nowMs)
+    second.asked += tokens
+    second.refused += tokens
+    second.routerRefused += tokens
+    second.refusedCalls++
+  }
+
   /** Figures of all accounts over the last six whole seconds, the one with the smallest share first. */
   list (nowMs: number): AccountFigures[] {
     const untilS = Math.floor(nowMs / MS_PER_S)
@@ -73,7 +87,7 @@
     const best = windows.reduce((most, next) => next.placedTokens > most.placedTokens ? next : most).window
     return windows.map(({ account, window, placedTokens }) => {
       const due = window.reduce((sum, { asked }, i) => sum + Math.min(asked, best[i].placed), 0)
-      return { account, askedTokens: computeSum(window, 'asked'), placedTokens, refusedTokens: computeSum(window, 'refused'), refusedCalls: computeSum(window, 'refusedCalls'), share: due > 0 ? placedTokens / due : 1 }
+      return { account, askedTokens: computeSum(window, 'asked'), placedTokens, refusedTokens: computeSum(window, 'refused'), routerRefusedTokens: computeSum(window, 'routerRefused'), refusedCalls: computeSum(window, 'refusedCalls'), share: due > 0 ? placedTokens / due : 1 }
     }).sort((a, b) => a.share - b.share)
   }
 
@@ -99,7 +113,7 @@
 }
 
 function createSecond (): Second {
-  return { asked: 0, placed: 0, refused: 0, refusedCalls: 0 }
+  return { asked: 0, placed: 0, refused: 0, routerRefused: 0, refusedCalls: 0 }
 }
 
 function computeSum (window: readonly Second[], field: keyof Second): number {
--- a/src/routing/AccountTraffic/test.ts
+++ b/src/routing/AccountTraffic/test.ts
@@ -18,6 +18,21 @@
     expect(a).toMatchObject({ account: 'a', placedTokens: 6_000, refusedCalls: 0, share: 1 })
   })
 
+  // Guards against an account whose calls are refused by its router, and which looks satisfied because the scheduler sees few.
+  it('counts calls that a router refused as asked and refused', () => {
+    const traffic = new AccountTraffic()
+    for (const account of ['a', 'b']) {
+      traffic.recordRequest(createRequest(account, 900), 0)
+      traffic.recordVerdict(createRequest(account, 900), { type: 'place' }, 0)
+    }
+    traffic.recordRequest(createRequest('b', 3_900), 0)
+    traffic.recordVerdict(createRequest('b', 3_900), { type: 'place' }, 0)
+    traffic.recordRouterRefusals('a', 9_000, 0)
+    const [a] = traffic.list(1_000)
+    expect(a).toMatchObject({ account: 'a', askedTokens: 10_000, placedTokens: 1_000, refusedTokens: 9_000, routerRefusedTokens: 9_000, refusedCalls: 1 })
+    expect(a.share).toBeCloseTo(0.2)
+  })
+
   it('forgets accounts without calls in the window', () => {
     const traffic = new AccountTraffic()
     traffic.recordRequest(createRequest('a', 900), 0)
