--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -15,6 +15,10 @@
  * acts after two failed checks.
  */
 const OUT_OF_ROTATION_MS = 2_500
+/** Short, because the retry of the caller reaches another router, which can serve it at once. */
+const ROUTER_RETRY_AFTER_S = 0.05
+/** An overloaded router without a permit to leave the rotation is one of many: a retry would reach another one of them. */
+const FLEET_RETRY_AFTER_S = 0.5
 
 interface LoopSample {
   /** Time since the previous sample. */
@@ -72,6 +76,11 @@
     return this.isLeaving(nowMs) && nowMs - this.#permit!.sinceMs > OUT_OF_ROTATION_MS
   }
 
+  /** Seconds after which to retry a call that is refused now because of the load of this router. */
+  getRetryAfterS (nowMs: number, _random: () => number): number {
+    return this.#isOverloaded && !this.isLeaving(nowMs) ? FLEET_RETRY_AFTER_S : ROUTER_RETRY_AFTER_S
+  }
+
   /** Adds a sample and returns whether `isOverloaded` changed. */
   addSample ({ intervalMs, delayMs, utilization, refusals = 0 }: LoopSample, nowMs: number): boolean {
     const isLate = utilization > BUSY_UTILIZATION && (delayMs > LATE_TIMER_MS || refusals > 0)
--- a/src/gateway/OverloadDetector/test.ts
+++ b/src/gateway/OverloadDetector/test.ts
@@ -56,6 +56,26 @@
     expect(detector.isOverloaded).toBe(false)
   })
 
+  // Guards against retries that come back to the same router, which is in rotation for seconds after it has become hot, and
+  // that come all at once, so that they find its queue of connections full.
+  it('tells callers to retry after the router has left the rotation, spread over time', () => {
+    const detector = new OverloadDetector()
+    const nowMs = addSamples(detector, { startMs: 0, delayMs: 300, count: 5 })
+    detector.setPermit(true, nowMs)
+    const [first, last] = [0, 0.99].map(random => detector.getRetryAfterS(nowMs + 500, () => random))
+    expect(first).toBeGreaterThanOrEqual(2)
+    expect(last - first).toBeGreaterThan(0.3)
+    const [soonest] = [0].map(random => detector.getRetryAfterS(nowMs + 3_000, () => random))
+    expect(soonest).toBeLessThan(0.2)
+  })
+
+  // Guards against a hot router that most of its callers' time passes at before the load balancer looks.
+  it('detects a router that refuses requests within half a second', () => {
+    const detector = new OverloadDetector()
+    for (let nowMs = 50; nowMs <= 500; nowMs += 50) detector.addSample({ intervalMs: 50, delayMs: 5, utilization: 1, refusals: 3 }, nowMs)
+    expect(detector.isOverloaded).toBe(true)
+  })
+
   // Guards against closing connections while their callers would still reconnect to the same router.
   it('reports when the load balancer has taken the router out of rotation', () => {
     const detector = new OverloadDetector()
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -8,10 +8,6 @@
 const SAMPLE_INTERVAL_MS = 50
 /** An event loop with a higher utilization has little time left. */
 const BUSY_UTILIZATION = 0.6
-/** Short, because the retry of the caller reaches another router, which can serve it at once. */
-const ROUTER_RETRY_AFTER_S = 0.05
-/** An overloaded router without a permit to leave the rotation is one of many: a retry would reach another one of them. */
-const FLEET_RETRY_AFTER_S = 0.5
 
 /**
  * Samples the delay and the utilization of the event loop while requests and readiness checks arrive, so that an idle
@@ -78,7 +74,7 @@
 
   /** Seconds after which to retry a call that is refused now because of the load of this router. */
   get retryAfterS (): number {
-    return this.isOverloaded && !this.isLeaving ? FLEET_RETRY_AFTER_S : ROUTER_RETRY_AFTER_S
+    return this.#detector.getRetryAfterS(performance.now(), Math.random)
   }
 
   /** Renews or ends the permit of this router to leave the rotation. */
