Admit what a hot router can still begin, and send its retries to another router

Cause: a router with too little processor time refused what it could have begun, since it predicted eight iterations of its event loop before a call begins, where two precede its dispatch; it told callers to retry at once, which led them back to the same router, all at the same time, so that they found its queue of connections full; and it stayed in rotation for three seconds, while its neighbours were idle. Change: two iterations and a larger part of the objective for large accounts; a Retry-After until the router has left the rotation, spread over half a second; overload is detected within 0.4 s instead of 1 s, and the permit to leave is requested at once. A refusal is sent in one write.

--- a/src/gateway/CallAdmission/index.ts
+++ b/src/gateway/CallAdmission/index.ts
@@ -10,14 +10,14 @@
   busyMs: number
 }
 
-/** Iterations of the event loop between the arrival of a request and the first byte of its response. */
-const STEPS = 8
+/** Iterations of the event loop between the read of a request and its dispatch to a target. */
+const STEPS = 2
 /** An event loop that has not waited for input for this long has a backlog, not only a few requests at once. */
 const BACKLOG_MS = 250
 /** Part of the objective that may pass in this router; the rest is left for the target. */
 const USABLE_SHARE = 0.5
 /** The same for an account that has more than an equal share of this router, while others use it too. */
-const LARGE_ACCOUNT_SHARE = 0.25
+const LARGE_ACCOUNT_SHARE = 0.4
 /** Requests that wait less are accepted in any case. */
 const NEGLIGIBLE_MS = 20
 /** Time constant of the exponential decay of the accepted requests of an account. */
--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -1,13 +1,13 @@
 import { PERMIT_TTL_MS } from '../../routing/PERMIT_TTL_MS'
 
 /** Length of the sliding window in which the intervals of the late samples of the event loop are summed. */
-const WINDOW_MS = 2_000
+const WINDOW_MS = 1_000
 /** An event loop with a higher utilization is busy. A process that was paused from outside has a low utilization. */
 const BUSY_UTILIZATION = 0.9
 /** A sample of a busy event loop is late if its timer is delayed by more than this, or if requests were refused in it. */
 const LATE_TIMER_MS = 30
 /** Sum of the late intervals in the window above which the router becomes overloaded. */
-const OVERLOAD_MS = 1_000
+const OVERLOAD_MS = 400
 /** Value to which this sum has to fall before an overloaded router has recovered (hysteresis). */
 const RECOVERY_MS = 200
 /**
@@ -15,10 +15,11 @@
  * acts after two failed checks.
  */
 const OUT_OF_ROTATION_MS = 2_500
-/** Short, because the retry of the caller reaches another router, which can serve it at once. */
-const ROUTER_RETRY_AFTER_S = 0.05
-/** An overloaded router without a permit to leave the rotation is one of many: a retry would reach another one of them. */
-const FLEET_RETRY_AFTER_S = 0.5
+/** Shortest Retry-After of a router that is not overloaded, or that the callers no longer reach. */
+const MIN_RETRY_AFTER_S = 0.05
+/** Retries are spread over this time: connections that arrive at once find the queue of connections full. */
+const RETRY_AFTER_SPREAD_S = 0.5
+const MS_PER_S = 1_000
 
 interface LoopSample {
   /** Time since the previous sample. */
@@ -76,9 +77,18 @@
     return this.isLeaving(nowMs) && nowMs - this.#permit!.sinceMs > OUT_OF_ROTATION_MS
   }
 
-  /** Seconds after which to retry a call that is refused now because of the load of this router. */
-  getRetryAfterS (nowMs: number, _random: () => number): number {
-    return this.#isOverloaded && !this.isLeaving(nowMs) ? FLEET_RETRY_AFTER_S : ROUTER_RETRY_AFTER_S
+  /**
+   * Seconds after which to retry a call that is refused now because of the load of this router. The load balancer sends the
+   * retry to the same router until it has taken that out of rotation.
+   */
+  getRetryAfterS (nowMs: number, random: () => number): number {
+    return MIN_RETRY_AFTER_S + this.#getTimeInRotationMs(nowMs) / MS_PER_S + RETRY_AFTER_SPREAD_S * random()
+  }
+
+  /** Time for which an overloaded router probably still gets new connections. */
+  #getTimeInRotationMs (nowMs: number): number {
+    if (!this.#isOverloaded) return 0
+    return this.isLeaving(nowMs) ? Math.max(0, this.#permit!.sinceMs + OUT_OF_ROTATION_MS - nowMs) : OUT_OF_ROTATION_MS
   }
 
   /** Adds a sample and returns whether `isOverloaded` changed. */
--- a/src/gateway/OverloadGate/index.ts
+++ b/src/gateway/OverloadGate/index.ts
@@ -29,7 +29,8 @@
 
 const DEFAULT_OBJECTIVE_MS = 600
 const KIND = 'no-target'
-const BODY = Buffer.from(JSON.stringify({ error: { kind: KIND, message: 'The request has not run: this router is overloaded.', outcome: errorTable[KIND].outcome } }))
+/** A string, because Node.js sends it with the head in one write. */
+const BODY = JSON.stringify({ error: { kind: KIND, message: 'The request has not run: this router is overloaded.', outcome: errorTable[KIND].outcome } })
 
 /**
  * @name OverloadGate
--- a/src/gateway/OverloadGate/test.ts
+++ b/src/gateway/OverloadGate/test.ts
@@ -29,7 +29,7 @@
 
 function sendRequest (gate: OverloadGate) {
   const sent: { status?: number, headers?: string[], body?: string } = {}
-  const response = { writeHead: (status: number, headers: string[]) => Object.assign(sent, { status, headers }), end: (body: Buffer) => { sent.body = body.toString() } }
+  const response = { writeHead: (status: number, headers: string[]) => Object.assign(sent, { status, headers }), end: (body: string) => { sent.body = body } }
   const request = { headers: { host: 'a.example', key: 'k1', 'call-id': '9c41' }, url: '/r/x' }
   const delay = gate.tryAdmit(request as unknown as IncomingMessage, response as unknown as ServerResponse)
   return { delay, ...sent }
--- a/src/instance/_lib/EventLoopMonitor/index.ts
+++ b/src/instance/_lib/EventLoopMonitor/index.ts
@@ -5,6 +5,13 @@
 import { RouterLoadLog } from '../../../gateway/RouterLoadLog'
 import type { ComponentLogger } from '../../../telemetry/ComponentLogger'
 
+interface EventLoopMonitorOptions {
+  /** Most connections that the operating system keeps for the listener. */
+  backlog: number
+  /** Called when the router has become overloaded, and needs a permit to leave the rotation. */
+  onOverloaded: () => void
+}
+
 const SAMPLE_INTERVAL_MS = 50
 /** An event loop with a higher utilization has little time left. */
 const BUSY_UTILIZATION = 0.6
@@ -27,6 +34,7 @@
   readonly loadLog: RouterLoadLog
   readonly #detector = new OverloadDetector()
   readonly #logger: ComponentLogger
+  readonly #onOverloaded: () => void
   #utilization = performance.eventLoopUtilization()
   #sampledAtMs = 0
   #timer: NodeJS.Timeout | undefined
@@ -36,9 +44,9 @@
   #overloads = 0
   #longestIterationMs = 0
 
-  /** `backlog`: most connections that the operating system keeps for the listener. */
-  constructor (logger: ComponentLogger, { backlog }: { backlog: number }) {
+  constructor (logger: ComponentLogger, { backlog, onOverloaded }: EventLoopMonitorOptions) {
     this.#logger = logger
+    this.#onOverloaded = onOverloaded
     this.acceptClock = new AcceptClock({ now: () => performance.now(), countIterations, backlog })
     this.loadLog = new RouterLoadLog({ logger, now: () => performance.now(), countIterations, getIdleMs: () => performance.nodeTiming.idleTime })
   }
@@ -131,9 +139,10 @@
     const refusals = this.#refusals
     this.#refusals = 0
     if (!this.#detector.addSample({ intervalMs, delayMs: intervalMs - SAMPLE_INTERVAL_MS, utilization, refusals }, nowMs)) return
-    if (this.#detector.isOverloaded) this.#overloads++
-    if (this.#detector.isOverloaded) this.#logger.error('The router is overloaded; it asks to leave the rotation.', { turnMs: Math.round(intervalMs) })
-    else this.#logger.warn('The router is no longer overloaded.')
+    if (!this.#detector.isOverloaded) return this.#logger.warn('The router is no longer overloaded.')
+    this.#overloads++
+    this.#logger.error('The router is overloaded; it asks to leave the rotation.', { turnMs: Math.round(intervalMs) })
+    this.#onOverloaded()
   }
 }
 
--- a/src/instance/_lib/RegistryClient/index.ts
+++ b/src/instance/_lib/RegistryClient/index.ts
@@ -71,7 +71,7 @@
 
   start (): void {
     this.addReplicas(this.#options.seeds)
-    this.#timer = setInterval(() => { void this.#reportLoad() }, REPORT_INTERVAL_MS)
+    this.#timer = setInterval(() => { void this.reportLoad() }, REPORT_INTERVAL_MS)
   }
 
   addReplicas (hosts: readonly string[]): void {
@@ -89,6 +89,23 @@
     for (const client of this.#clients.values()) client.close()
   }
 
+  /** Reports the load to the leader now, unless the reply to a report is awaited. */
+  async reportLoad (): Promise<void> {
+    const leader = this.#leader
+    const client = leader === undefined ? undefined : this.#clients.get(leader)
+    if (!client || this.#isReporting) return
+    this.#isReporting = true
+    try {
+      const summary = LoadSummary.parse(await client.request('reportLoad', this.#options.createReport(), { timeoutMs: REPORT_TIMEOUT_MS }))
+      if (this.#leader === leader) this.#leaderRepliedAtMs = performance.now()
+      if (client.link) this.#options.onSummary(summary, client.link)
+    } catch (error) {
+      this.#options.logger.debug('A load report failed.', { leader, reason: String(error) })
+      if (this.#leader === leader) this.#leader = undefined
+    }
+    this.#isReporting = false
+  }
+
   async #watch (host: string, client: LinkClient): Promise<void> {
     let isReachable = true
     while (!this.#isClosed) {
@@ -140,20 +157,4 @@
     this.#version = document.version
     this.#options.onDocument(document)
   }
-
-  async #reportLoad (): Promise<void> {
-    const leader = this.#leader
-    const client = leader === undefined ? undefined : this.#clients.get(leader)
-    if (!client || this.#isReporting) return
-    this.#isReporting = true
-    try {
-      const summary = LoadSummary.parse(await client.request('reportLoad', this.#options.createReport(), { timeoutMs: REPORT_TIMEOUT_MS }))
-      if (this.#leader === leader) this.#leaderRepliedAtMs = performance.now()
-      if (client.link) this.#options.onSummary(summary, client.link)
-    } catch (error) {
-      this.#options.logger.debug('A load report failed.', { leader, reason: String(error) })
-      if (this.#leader === leader) this.#leader = undefined
-    }
-    this.#isReporting = false
-  }
 }
--- a/src/instance/startGateway/index.ts
+++ b/src/instance/startGateway/index.ts
@@ -102,7 +102,7 @@
   lifecycle.register('placements', () => placements.close())
   const connections = new TargetConnections()
   lifecycle.register('target connections', () => connections.close())
-  const monitor = new EventLoopMonitor(logger, { backlog: BACKLOG })
+  const monitor = new EventLoopMonitor(logger, { backlog: BACKLOG, onOverloaded: () => { void registry.reportLoad() } })
   lifecycle.register('event loop monitor', () => monitor.close())
   const gate = new OverloadGate({
     clock: monitor,
