Tell callers of an overloaded router without a permit to retry within a second

Such a router stays in rotation and is one of many, as after a restart of the fleet; callers would wait for 2.5 s although its load may fall sooner.

--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -17,6 +17,8 @@
 const OUT_OF_ROTATION_MS = 2_500
 /** Shortest Retry-After of a router that is not overloaded, or that the callers no longer reach. */
 const MIN_RETRY_AFTER_S = 0.05
+/** An overloaded router without a permit is one of many, and stays in rotation; its load may have fallen after this time. */
+const FLEET_RETRY_AFTER_MS = 500
 /** Retries are spread over this time: connections that arrive at once find the queue of connections full. */
 const RETRY_AFTER_SPREAD_S = 0.5
 const MS_PER_S = 1_000
@@ -82,13 +84,13 @@
    * retry to the same router until it has taken that out of rotation.
    */
   getRetryAfterS (nowMs: number, random: () => number): number {
-    return MIN_RETRY_AFTER_S + this.#getTimeInRotationMs(nowMs) / MS_PER_S + RETRY_AFTER_SPREAD_S * random()
+    return MIN_RETRY_AFTER_S + this.#getOverloadMs(nowMs) / MS_PER_S + RETRY_AFTER_SPREAD_S * random()
   }
 
-  /** Time for which an overloaded router probably still gets new connections. */
-  #getTimeInRotationMs (nowMs: number): number {
+  /** Time for which a retry would reach an overloaded router again. */
+  #getOverloadMs (nowMs: number): number {
     if (!this.#isOverloaded) return 0
-    return this.isLeaving(nowMs) ? Math.max(0, this.#permit!.sinceMs + OUT_OF_ROTATION_MS - nowMs) : OUT_OF_ROTATION_MS
+    return this.isLeaving(nowMs) ? Math.max(0, this.#permit!.sinceMs + OUT_OF_ROTATION_MS - nowMs) : FLEET_RETRY_AFTER_MS
   }
 
   /** Adds a sample and returns whether `isOverloaded` changed. */
--- a/src/gateway/OverloadDetector/test.ts
+++ b/src/gateway/OverloadDetector/test.ts
@@ -65,11 +65,19 @@
     const [first, last] = [0, 0.99].map(random => detector.getRetryAfterS(nowMs + 500, () => random))
     expect(first).toBeGreaterThanOrEqual(2)
     expect(last - first).toBeGreaterThan(0.3)
-    const [soonest] = [0].map(random => detector.getRetryAfterS(nowMs + 3_000, () => random))
-    expect(soonest).toBeLessThan(0.2)
+    expect(detector.getRetryAfterS(nowMs + 3_000, () => 0)).toBeLessThan(0.2)
   })
 
-  // Guards against a hot router that most of its callers' time passes at before the load balancer looks.
+  // Guards against callers that wait for seconds when all routers are overloaded, as after a restart, and none of them leaves.
+  it('tells callers of a router without a permit to retry within a second', () => {
+    const detector = new OverloadDetector()
+    const nowMs = addSamples(detector, { startMs: 0, delayMs: 300, count: 5 })
+    const [first, last] = [0, 0.99].map(random => detector.getRetryAfterS(nowMs, () => random))
+    expect(first).toBeGreaterThanOrEqual(0.5)
+    expect(last).toBeLessThan(1.1)
+  })
+
+  // Guards against a hot router that refuses calls for a second before it asks to leave the rotation.
   it('detects a router that refuses requests within half a second', () => {
     const detector = new OverloadDetector()
     for (let nowMs = 50; nowMs <= 500; nowMs += 50) detector.addSample({ intervalMs: 50, delayMs: 5, utilization: 1, refusals: 3 }, nowMs)
