--- a/src/gateway/CallAdmission/index.ts
+++ b/src/gateway/CallAdmission/index.ts
@@ -38,10 +38,11 @@
  *
  * @description
  * Handles the load of one account whose requests all reach the same router, at several times its processor time. What
- * can't be begun in time is refused at once as not run, because the retry reaches another router; what is accepted is
- * served. The time until the response begins is predicted from the time that the request has waited to be read, the
- * iterations of the event loop that are still needed if it has a backlog, and the requests that were accepted since it
- * last waited for input. Accounts with more than an equal share of the accepted requests are refused first. Times are
+ * can't be begun in time is refused at once as not run; what is accepted is served. The retries of refused requests reach
+ * the same router while it is in rotation, so it refuses no more than it must. The time until a target gets the request is
+ * predicted from the time that the request has waited to be read, the iterations of the event loop that are still needed if
+ * it has a backlog, and the requests that were accepted since it last waited for input. Accounts with more than an equal
+ * share of the accepted requests are refused first. Times are
  * milliseconds of a monotonic clock.
  *
  * @example
