Give back the connection of a call whose caller has left

Cause: a call that must not be repeated was detached for good when its caller left, also one that still waited for a connection; targets that never answer took all connections of a pool. Change: a call that was not sent is withdrawn; one that was sent keeps its connection until its deadline and a second more. Two of the three tests failed before.

--- a/src/gateway/CallAttempt/index.ts
+++ b/src/gateway/CallAttempt/index.ts
@@ -106,10 +106,13 @@
   }
 
   /**
-   * Ends the attempt after its caller has disconnected, but lets the target finish the request. Aborting it would cost
-   * the connection to the target, which is not worth it for a request that must not be repeated.
+   * Ends the attempt after its caller has disconnected. A request that was not sent is withdrawn. One that was sent may
+   * finish within `maxMs`: aborting it would cost the connection to the target, which is not worth it for a request that
+   * must not be repeated.
    */
-  detach (): void {
+  detach ({ maxMs }: { maxMs: number }): void {
+    if (!this.exchange.isSent) return this.cancel('left')
+    this.exchange.abortAfter(maxMs)
     this.#settle({ type: 'left' })
   }
 
--- a/src/gateway/CallAttempt/test.ts
+++ b/src/gateway/CallAttempt/test.ts
@@ -20,6 +20,52 @@
   return { written, attempt, batcher, controller, send }
 }
 
+/** A call that must not be repeated, at a target that has not answered. */
+function startSilent () {
+  const response = { headersSent: false } as unknown as ServerResponse
+  const attempt = new CallAttempt({ codec: plainCodecs.calls, callId: '7', target: 't1', isStream: false, resumedEventId: undefined, writer: new ResponseWriter(response), batcher: new WriteBatcher({ isBusy: () => false }), budget: new BufferBudget({ maxBytes: 1024 }), onHead: () => {}, onProgress: () => {} })
+  const aborts: Error[] = []
+  const controller = { abort: (error: Error) => { aborts.push(error) }, pause () {}, resume () {} } as unknown as Dispatcher.DispatchController
+  return { attempt, controller, aborts }
+}
+
+describe('CallAttempt whose caller has left', () => {
+  beforeEach(() => { jest.useFakeTimers() })
+  afterEach(() => { jest.useRealTimers() })
+
+  // Guards against calls that wait for a connection and run at a target long after their callers have left.
+  it('is withdrawn if it has not been sent', async () => {
+    const { attempt, controller, aborts } = startSilent()
+    attempt.detach({ maxMs: 1_000 })
+    expect(await attempt.result).toEqual({ type: 'left' })
+    attempt.exchange.onRequestStart(controller)
+    expect([aborts.length, attempt.exchange.isSent]).toEqual([1, false])
+  })
+
+  // Guards against targets that never answer and so take all connections of a router for good.
+  it('gives its connection back after a bounded time if it was sent', async () => {
+    const { attempt, controller, aborts } = startSilent()
+    attempt.exchange.onRequestStart(controller)
+    attempt.detach({ maxMs: 1_000 })
+    expect(await attempt.result).toEqual({ type: 'left' })
+    jest.advanceTimersByTime(999)
+    expect(aborts).toHaveLength(0)
+    jest.advanceTimersByTime(1)
+    expect(aborts).toHaveLength(1)
+  })
+
+  // Guards against a connection that is closed although its target has answered and it serves another call.
+  it('keeps the connection of a target that answers in that time', () => {
+    const { attempt, controller, aborts } = startSilent()
+    attempt.exchange.onRequestStart(controller)
+    attempt.detach({ maxMs: 1_000 })
+    attempt.exchange.onResponseStart(controller, 200, { 'call-id': '7', signature: 's' })
+    attempt.exchange.onResponseEnd()
+    jest.advanceTimersByTime(5_000)
+    expect(aborts).toHaveLength(0)
+  })
+})
+
 describe('CallAttempt in a busy router', () => {
   it('sends the first event at once and those after it with one write', () => {
     const { written, batcher, send } = startStream()
@@ -96,7 +142,7 @@
   it('reads nothing into memory for a caller that has left, and closes the connection at the limit of a response', async () => {
     const budget = new BufferBudget({ maxBytes: 4_000 })
     const left = startBuffered(budget)
-    left.attempt.detach()
+    left.attempt.detach({ maxMs: 1_000 })
     for (let i = 0; i < 40; i++) left.send(1024 * 1024)
     expect([budget.totalBytes, budget.evictions]).toEqual([0, 0])
     expect(await left.attempt.result).toEqual({ type: 'left' })
--- a/src/gateway/GatewayCall/index.ts
+++ b/src/gateway/GatewayCall/index.ts
@@ -46,6 +46,8 @@
 const CLOSE_CHECK_AFTER_MS = 100
 /** The event loop is taken for busy if it has not waited for input for this long: closes are read late. */
 const BUSY_MS = 50
+/** A target stops at the deadline that it was told; what it has not answered by then and after this time never comes. */
+const DETACHED_MARGIN_MS = 1_000
 /** Stands for this router in estimates. */
 const LOCAL_SCHEDULER = 'local'
 
@@ -136,7 +138,7 @@
   async #serve (call: AdmittedCall): Promise<void> {
     const { route, service } = call
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable)
-    this.#response.once('close', () => this.#handleClose(route))
+    this.#response.once('close', () => this.#handleClose(call))
     const timer = setTimeout(() => this.#expire(), Math.max(1, call.deadlineAtMs - performance.now()))
     if (this.#isDelayed || !this.#isPrompt(call)) await waitForClose()
     const { retryBudget, loads } = this.#context
@@ -224,11 +226,11 @@
     }
   }
 
-  #handleClose (route: Route): void {
+  #handleClose ({ route, deadlineAtMs }: AdmittedCall): void {
     this.#attempt?.release()
     if (this.#response.writableFinished) return
     this.#isCallerGone = true
-    if (route.kind === 'non-idempotent') this.#attempt?.detach()
+    if (route.kind === 'non-idempotent') this.#attempt?.detach({ maxMs: Math.max(0, deadlineAtMs - performance.now()) + DETACHED_MARGIN_MS })
     else this.#attempt?.cancel('left')
   }
 
--- a/src/gateway/TargetExchange/index.ts
+++ b/src/gateway/TargetExchange/index.ts
@@ -33,6 +33,7 @@
   #isSent = false
   #isEnded = false
   #interimResponses = 0
+  #abortTimer: NodeJS.Timeout | undefined
 
   constructor (events: ExchangeEvents) {
     this.#events = events
@@ -61,13 +62,13 @@
 
   onResponseEnd (): void {
     if (this.#isEnded) return
-    this.#isEnded = true
+    this.#stop()
     this.#events.onEnd()
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
     if (this.#isEnded) return
-    this.#isEnded = true
+    this.#stop()
     this.#events.onError(error, this.#isSent)
   }
 
@@ -82,7 +83,19 @@
   /** Ends the exchange and closes its connection. No callback is called afterwards. */
   abort (): void {
     if (this.#isEnded) return
-    this.#isEnded = true
+    this.#stop()
     this.#controller?.abort(new Error('The exchange was aborted.'))
   }
+
+  /** Aborts the exchange unless it ends within this time, in milliseconds. */
+  abortAfter (ms: number): void {
+    if (this.#isEnded) return
+    clearTimeout(this.#abortTimer)
+    this.#abortTimer = setTimeout(() => this.abort(), ms).unref()
+  }
+
+  #stop (): void {
+    this.#isEnded = true
+    clearTimeout(this.#abortTimer)
+  }
 }
