--- a/src/gateway/OverloadDetector/index.ts
+++ b/src/gateway/OverloadDetector/index.ts
@@ -44,7 +44,7 @@
  * seconds, in which no connection is accepted, while the other routers are idle. A router that reports that it is not
  * ready gets no new connections; an overloaded router does so only with a permit, because all routers may be overloaded
  * at once. Once the load balancer has taken the router out of rotation, refusals should close their connections, so that
- * the router keeps only as many callers as it can serve.
+ * the router keeps only as many callers as it can serve. Refused callers are told to retry when they reach another router.
  *
  * @example
  * const detector = new OverloadDetector()
